--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := objects policy fleet node client testkit
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+BENCH ?= path
+WORKERS ?= 4
+
+.PHONY: env format lint test demo bench
+
+env: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt setuptools
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt -r requirements-dev.txt $(EDITABLE)
+	touch $@
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages/*/src
+
+test: lint
+	$(BIN)/python -m pytest -q -n $(WORKERS)
+
+demo: env
+	$(BIN)/python -m laburnumford_testkit.demo
+
+bench: env
+	$(BIN)/python -m laburnumford_testkit.bench $(BENCH)
--- /dev/null
+++ b/packages/client/src/laburnumford_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client, laburnumford."""
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration spread and membership of laburnumford."""
--- /dev/null
+++ b/packages/node/src/laburnumford_node/__init__.py
@@ -0,0 +1,1 @@
+"""The laburnumford node, laburnumfordd."""
--- /dev/null
+++ b/packages/objects/src/laburnumford_objects/__init__.py
@@ -0,0 +1,1 @@
+"""Published objects, settings and checks of laburnumford."""
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancing decisions of laburnumford."""
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, fault proxy, judge and benches of laburnumford."""
