--- /dev/null
+++ b/packages/objects/src/laburnumford_objects/_model.py
@@ -0,0 +1,54 @@
+"""Base of all models and the value types that they share."""
+
+import ipaddress
+from typing import Annotated, Any
+
+import pydantic
+
+
+class Model(pydantic.BaseModel):
+    """Base of the published objects and the settings: frozen, strict, no unknown fields."""
+
+    model_config = pydantic.ConfigDict(
+        frozen=True, extra="forbid", strict=True, allow_inf_nan=False
+    )
+
+
+def declared(description: str, unit: str = "", **constraints: Any) -> Any:
+    """Returns a pydantic field with a description, an optional unit and constraints."""
+    return pydantic.Field(description=description, json_schema_extra={"unit": unit}, **constraints)
+
+
+def _check_address(text: str) -> str:
+    host, separator, port = text.rpartition(":")
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
+        valid = bool(separator) and bracketed == (ip.version == 6)
+    except ValueError:
+        valid = False
+    number = int(port) if port.isascii() and port.isdigit() and len(port) <= 5 else 0
+    if not valid or str(number) != port or not 1 <= number <= 65535:
+        raise ValueError("not an address")
+    return text
+
+
+# The name of a node is a part of its tickets, which use dots as separators.
+Name = Annotated[
+    str,
+    pydantic.StringConstraints(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"),
+    pydantic.WithJsonSchema(
+        {
+            "type": "string",
+            "title": "name of 1 to 63 characters: lower-case letters, digits and inner hyphens",
+        }
+    ),
+]
+Address = Annotated[
+    str,
+    pydantic.StringConstraints(max_length=64),
+    pydantic.AfterValidator(_check_address),
+    pydantic.WithJsonSchema(
+        {"type": "string", "title": "IPv4:port or [IPv6]:port with a port from 1 to 65535"}
+    ),
+]
--- /dev/null
+++ b/packages/objects/src/laburnumford_objects/jsonc.py
@@ -0,0 +1,206 @@
+"""JSON with comments that keeps the line of each value.
+
+The syntax is RFC 8259 plus ``//`` and ``/* */`` comments. Trailing commas are not allowed.
+"""
+
+import functools
+import importlib.resources
+import json
+import math
+from collections.abc import Iterator
+from typing import Any, cast
+
+import lark
+from lark import exceptions as lark_exceptions
+
+from laburnumford_objects import errors, located
+
+MAX_BYTES = 16 * 1024 * 1024  # 10,000 backend servers take about 3 MB
+MAX_DEPTH = 32  # a deployment needs 6; reading the result recurses once per level
+_MAX_SHOWN = 40
+MAX_NUMBER_LENGTH = 64  # Python refuses to convert integers of more than 4300 digits
+
+_TEXT_BY_TERMINAL = {
+    "LBRACE": "'{'",
+    "RBRACE": "'}'",
+    "LSQB": "'['",
+    "RSQB": "']'",
+    "COMMA": "','",
+    "COLON": "':'",
+    "STRING": "a string",
+    "NUMBER": "a number",
+    "TRUE": "true",
+    "FALSE": "false",
+    "NULL": "null",
+    "$END": "the end of the file",
+}
+
+
+class _DepthGuard:
+    """Bounds the nesting while the tokens pass from the lexer to the parser."""
+
+    always_accept = ("INVALID",)
+
+    def process(self, stream: Iterator[lark.Token]) -> Iterator[lark.Token]:
+        """Passes the tokens on.
+
+        Raises:
+            JsoncError: the nesting is deeper than `MAX_DEPTH`.
+        """
+        depth = 0
+        for token in stream:
+            if token.type in ("LBRACE", "LSQB"):
+                depth += 1
+                if depth > MAX_DEPTH:
+                    raise errors.JsoncError(
+                        "", token.line or 0, f"nesting deeper than {MAX_DEPTH}, the most allowed"
+                    )
+            elif token.type in ("RBRACE", "RSQB"):
+                depth -= 1
+            yield token
+
+
+class _Builder(lark.Transformer[lark.Token, Any]):
+    """Builds located values while the parser reduces, without a syntax tree."""
+
+    def start(self, items: list[Any]) -> Any:
+        return items[0]
+
+    def string(self, items: list[Any]) -> located.Located:
+        return located.Located(_text(items[0]), items[0].line, {})
+
+    def number(self, items: list[Any]) -> located.Located:
+        return located.Located(_number(items[0]), items[0].line, {})
+
+    def true(self, items: list[Any]) -> located.Located:
+        return located.Located(True, items[0].line, {})
+
+    def false(self, items: list[Any]) -> located.Located:
+        return located.Located(False, items[0].line, {})
+
+    def null(self, items: list[Any]) -> located.Located:
+        return located.Located(None, items[0].line, {})
+
+    def pair(self, items: list[Any]) -> tuple[lark.Token, located.Located]:
+        return items[0], items[2]
+
+    def object(self, items: list[Any]) -> located.Located:
+        children: dict[str | int, located.Located] = {}
+        key_lines: dict[str, int] = {}
+        for key, child in (item for item in items if isinstance(item, tuple)):
+            name = _text(key)
+            if name in key_lines:
+                raise errors.JsoncError(
+                    "",
+                    key.line,
+                    f"found key {name!r} again, first used on line {key_lines[name]};"
+                    " expected each key once",
+                )
+            key_lines[name] = key.line
+            children[name] = child
+        data = {key: child.data for key, child in children.items()}
+        return located.Located(data, items[0].line, children)
+
+    def array(self, items: list[Any]) -> located.Located:
+        values = [item for item in items if isinstance(item, located.Located)]
+        data = tuple(value.data for value in values)
+        return located.Located(data, items[0].line, dict(enumerate(values)))
+
+
+def parse(text: str, file: str = "") -> located.Located:
+    """Parses `text`.
+
+    Args:
+        text: the content, at most `MAX_BYTES` characters.
+        file: path for error messages.
+
+    Raises:
+        JsoncError: the text is too long, nested too deeply, repeats a key, or is not JSON with
+            comments.
+    """
+    if len(text) > MAX_BYTES:
+        raise errors.JsoncError(file, 0, f"found {len(text)} characters; expected <= {MAX_BYTES}")
+    try:
+        # The transformer replaces the tree, which the types of lark do not say.
+        parsed: Any = _parser().parse(text)
+    except errors.JsoncError as error:
+        raise errors.JsoncError(file, error.line, error.detail) from None
+    except lark_exceptions.VisitError as error:
+        cause = error.orig_exc
+        if isinstance(cause, errors.JsoncError):
+            raise errors.JsoncError(file, cause.line, cause.detail) from None
+        raise
+    except lark_exceptions.UnexpectedToken as error:
+        raise _syntax_error(text, file, error) from None
+    return cast(located.Located, parsed)
+
+
+def load(path: str) -> located.Located:
+    """Reads and parses the file at `path`.
+
+    Raises:
+        JsoncError: the file cannot be read, is not UTF-8, or does not parse.
+    """
+    try:
+        with open(path, "rb") as stream:
+            content = stream.read(MAX_BYTES + 1)
+    except OSError as error:
+        raise errors.JsoncError(path, 0, f"cannot read the file: {error.strerror}") from error
+    if len(content) > MAX_BYTES:
+        raise errors.JsoncError(path, 0, f"found over {MAX_BYTES} bytes; expected <= {MAX_BYTES}")
+    try:
+        text = content.decode("utf-8")
+    except UnicodeDecodeError as error:
+        line = content.count(b"\n", 0, error.start) + 1
+        raise errors.JsoncError(path, line, "found bytes that are not UTF-8") from error
+    return parse(text, path)
+
+
+@functools.cache
+def _parser() -> lark.Lark:
+    grammar = importlib.resources.files(__package__).joinpath("jsonc.lark").read_text("utf-8")
+    return lark.Lark(
+        grammar,
+        parser="lalr",
+        transformer=_Builder(),
+        postlex=_DepthGuard(),
+        keep_all_tokens=True,
+        maybe_placeholders=False,
+    )
+
+
+def _text(token: lark.Token) -> str:
+    text: str = json.loads(token)
+    try:
+        text.encode("utf-8")
+    except UnicodeEncodeError:
+        raise errors.JsoncError(
+            "", token.line or 0, "found half of a surrogate pair; expected a Unicode character"
+        ) from None
+    return text
+
+
+def _number(token: lark.Token) -> int | float:
+    if len(token) > MAX_NUMBER_LENGTH:
+        raise errors.JsoncError(
+            "",
+            token.line or 0,
+            f"found a number of {len(token)} characters; expected <= {MAX_NUMBER_LENGTH}",
+        )
+    number: int | float = json.loads(token)
+    if not math.isfinite(number):
+        raise errors.JsoncError(
+            "", token.line or 0, f"found {token}; expected a number within the range of a double"
+        )
+    return number
+
+
+def _syntax_error(
+    text: str, file: str, error: lark_exceptions.UnexpectedToken
+) -> errors.JsoncError:
+    found, line = repr(str(error.token)[:_MAX_SHOWN]), error.line
+    if error.token.type == "$END":
+        found, line = "the end of the file", text.count("\n") + 1
+    names = error.accepts or error.expected
+    expected = [text for name, text in _TEXT_BY_TERMINAL.items() if name in names]
+    return errors.JsoncError(file, line, f"found {found}; expected {' or '.join(expected)}")
--- /dev/null
+++ b/packages/objects/src/laburnumford_objects/tests/test_jsonc.py
@@ -0,0 +1,100 @@
+"""Tests of JSON with comments."""
+
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from laburnumford_objects import errors, jsonc
+
+_PROPERTY = hypothesis.settings(derandomize=True, deadline=None)
+
+_TEXT = strategies.text(strategies.characters(exclude_categories=["Cs"]), max_size=20)
+_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(10**30), 10**30)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | _TEXT,
+    lambda inner: (
+        strategies.lists(inner, max_size=4) | strategies.dictionaries(_TEXT, inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+def _plain(value):
+    """Returns `value` with lists for the tuples of the parser."""
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value
+
+
+@_PROPERTY
+@hypothesis.given(_VALUES, strategies.sampled_from([None, 2]))
+def test_every_json_text_parses_to_its_value(value, indent):
+    """Guards against values that differ from those of a JSON parser."""
+    assert _plain(jsonc.parse(json.dumps(value, indent=indent)).data) == value
+
+
+@_PROPERTY
+@hypothesis.given(strategies.text('{}[]:,"\\/*ue01-.\n\ta', max_size=40))
+def test_hostile_text_gives_a_value_or_a_located_error(text):
+    """Guards against exceptions of the parser library that reach the operator."""
+    try:
+        file, line = "file", jsonc.parse(text, "file").line
+    except errors.JsoncError as error:
+        file, line = error.file, error.line
+    assert file == "file"
+    assert 1 <= line <= text.count("\n") + 1
+
+
+def test_values_keep_their_lines_around_comments():
+    """Guards against lines that a comment shifts."""
+    value = jsonc.parse('// one\n{"a": /* two\n three */ [1,\n{"b": "/* text */"}]}')
+    assert [value.line, value.line_of(["a"]), value.line_of(["a", 1, "b"])] == [2, 3, 4]
+    assert value.line_of(["a", 7, "unknown"]) == 3
+    assert value.data == {"a": (1, {"b": "/* text */"})}
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "detail"),
+    [
+        ('{"a": 1,\n"a": 2}', 2, "found key 'a' again, first used on line 1"),
+        ('{"a"\n1}', 2, "found '1'; expected ':'"),
+        ("[1,\n]", 2, "found ']'; expected '{' or '[' or a string or a number"),
+        ("{}\nx", 2, "found 'x'; expected the end of the file"),
+        ('{"a": 1\n', 2, "found the end of the file; expected '}' or ','"),
+        ("/* open", 1, "found '/*'; expected '{'"),
+        ('"\\ud800"', 1, "half of a surrogate pair"),
+        ("1e999", 1, "found 1e999; expected a number within"),
+        ("[" * 33 + "]" * 33, 1, "nesting deeper than 32"),
+        ("1" * 65, 1, "found a number of 65 characters"),
+    ],
+)
+def test_error_names_line_and_expectation(text, line, detail):
+    """Guards against errors that leave the operator to search the file."""
+    with pytest.raises(errors.JsoncError) as caught:
+        jsonc.parse(text, "file")
+    assert caught.value.line == line
+    assert detail in caught.value.detail
+
+
+def test_size_is_bounded(write, monkeypatch):
+    """Guards against a file that exhausts the memory of the client."""
+    monkeypatch.setattr(jsonc, "MAX_BYTES", 10)
+    with pytest.raises(errors.JsoncError, match="expected <= 10"):
+        jsonc.load(write('"' + "a" * 20 + '"'))
+    with pytest.raises(errors.JsoncError, match="expected <= 10"):
+        jsonc.parse('"' + "a" * 20 + '"')
+
+
+def test_unreadable_files_are_reported(write, tmp_path):
+    """Guards against errors of the operating system or the decoder that pass through."""
+    with pytest.raises(errors.JsoncError, match="cannot read the file"):
+        jsonc.load(str(tmp_path))
+    with pytest.raises(errors.JsoncError, match=":2: found bytes that are not UTF-8"):
+        jsonc.load(write(b'"\n\xff"'))
