Add data types, chooser registry, random and latency_aware

Change: Candidate, LoadReport, Result, Explanation and the Chooser protocol, the registry of choosers, the random baseline, and a first latency_aware chooser that estimates the time to answer, leaves failing and overdue servers and ramps up cold ones. The chooser has not been compared with others yet.

--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/choice/__init__.py
@@ -0,0 +1,29 @@
+"""Choice of a backend server for each call."""
+
+from laburnumford_policy.choice.candidate import Candidate
+from laburnumford_policy.choice.chooser import Chooser
+from laburnumford_policy.choice.errors import (
+    ChoiceError,
+    ChoiceParameterError,
+    LoadReportError,
+)
+from laburnumford_policy.choice.explanation import Explanation
+from laburnumford_policy.choice.latency_aware import LatencyAwareChooser
+from laburnumford_policy.choice.load_report import LoadReport
+from laburnumford_policy.choice.random_choice import RandomChooser
+from laburnumford_policy.choice.registry import choosers
+from laburnumford_policy.choice.result import Result
+
+__all__ = [
+    "Candidate",
+    "ChoiceError",
+    "ChoiceParameterError",
+    "Chooser",
+    "Explanation",
+    "LatencyAwareChooser",
+    "LoadReport",
+    "LoadReportError",
+    "RandomChooser",
+    "Result",
+    "choosers",
+]
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/choice/_server_state.py
@@ -0,0 +1,204 @@
+"""What a node has learned about one backend server."""
+
+import collections
+import math
+
+from laburnumford_policy.choice import candidate, load_report
+
+_LATENCIES = 8  # Short enough to turn over within tens of ms, long enough for a quantile.
+_UNANSWERED = 64  # Only the oldest entries matter; bounds the state of a paused server.
+_RECENT_SENT = 32  # Calls that can be on the way to a server in another zone.
+_SAME_CALL_S = 1e-6  # Rounding of now - latency; calls closer than this count as one.
+_GOOD_NEWS_AGE_S = 0.25  # Older latencies than this are dropped when a lower one arrives.
+_REPORT_AGE_S = 0.05  # Load shifts within tens of ms, so a report loses weight as fast.
+_FAILURE_STEP = 0.3  # Three failures in a row make a server count as failing.
+_SUCCESS_FACTOR = 0.25  # One answer takes a failing server back to ramping.
+_FAILURE_DECAY_S = 15.0  # Longer than the gap between trials of a node with few calls.
+_FAILURE_WEIGHT = 8.0  # One failure outweighs a full server.
+_OVERDUE_FACTOR = 3.0  # Exceeded by 5% of exponential service times.
+_OVERDUE_FLOOR_S = 0.01  # Scheduling noise of a busy VM.
+FAILING_SCORE = 0.5
+
+
+class ServerState:
+    """Learned state of one candidate.
+
+    Args:
+        server: the candidate.
+        ramp_start: start of the slow start; minus infinity for a warm server.
+    """
+
+    __slots__ = (
+        "distance_s",
+        "failure_at",
+        "failure_value",
+        "in_flight",
+        "last_sent_at",
+        "latencies",
+        "limit",
+        "name",
+        "newest_answered_sent",
+        "outstanding",
+        "ramp_start",
+        "recent_sent",
+        "report_at",
+        "reported_service_s",
+        "sent_since",
+        "server",
+        "service_s",
+        "unanswered",
+    )
+
+    def __init__(self, *, server: candidate.Candidate, ramp_start: float) -> None:
+        self.name = server.name
+        self.ramp_start = ramp_start
+        self.outstanding = 0
+        self.sent_since = 0
+        self.in_flight = 0
+        self.report_at: float | None = None
+        self.reported_service_s: float | None = None
+        self.service_s: float | None = None
+        self.limit = float(max(1, server.slots))
+        self.failure_value = 0.0
+        self.failure_at = -math.inf
+        self.last_sent_at = -math.inf
+        self.newest_answered_sent = -math.inf
+        self.latencies: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=_LATENCIES
+        )
+        self.recent_sent: collections.deque[float] = collections.deque(maxlen=_RECENT_SENT)
+        self.unanswered: collections.deque[float] = collections.deque()
+        self.update(server)
+
+    def update(self, server: candidate.Candidate) -> None:
+        """Takes over the published attributes of the server."""
+        self.server = server
+        self.distance_s = 2.0 * server.distance_ms / 1000.0
+        if self.report_at is None:
+            self.limit = float(max(1, server.slots))
+
+    def failure_score(self, now: float) -> float:
+        """Returns the decayed failure score, 0 to 1."""
+        if self.failure_value <= 0.0:
+            return 0.0
+        return self.failure_value * math.exp((self.failure_at - now) / _FAILURE_DECAY_S)
+
+    def overdue(self, now: float, service_s: float | None) -> bool:
+        """Returns whether calls are outstanding for longer than expected, without an answer."""
+        if not self.unanswered or service_s is None:
+            return False
+        waited = now - self.unanswered[0]
+        queue_factor = max(1.0, self.in_flight / self.limit)
+        expected = self.distance_s + service_s * queue_factor * _OVERDUE_FACTOR
+        return waited > expected + _OVERDUE_FLOOR_S
+
+    def load(self, now: float, mean_load: float) -> float:
+        """Returns the estimated calls in flight at the server.
+
+        The report loses weight with its age in favour of the mean over the servers, so that an
+        old report of an empty queue does not attract load.
+        """
+        usual = mean_load * self.limit
+        if self.report_at is not None:
+            weight = math.exp((self.report_at - now) / _REPORT_AGE_S)
+            usual += weight * (self.in_flight - usual)
+        return max(usual + self.sent_since, float(self.outstanding))
+
+    def estimate(self, now: float, mean_load: float, service_s: float) -> float:
+        """Returns the estimated time to answer in seconds, including the failure penalty."""
+        load = self.load(now, mean_load)
+        time_s = self.distance_s + service_s * (1.0 + load / self.limit)
+        if self.unanswered:
+            waited = now - self.unanswered[0]
+            if waited > time_s:
+                time_s += 2.0 * (waited - time_s)
+        if self.failure_value > 0.0:
+            time_s *= 1.0 + _FAILURE_WEIGHT * self.failure_score(now)
+        return time_s
+
+    def sent(self, now: float) -> None:
+        """Records a call that was sent."""
+        self.outstanding += 1
+        self.sent_since += 1
+        self.last_sent_at = now
+        self.recent_sent.append(now)
+        if len(self.unanswered) < _UNANSWERED:
+            self.unanswered.append(now)
+
+    def ended(self) -> None:
+        """Records that a call is not outstanding any more."""
+        self.outstanding = max(0, self.outstanding - 1)
+        self.sent_since = max(0, self.sent_since - 1)
+
+    def answered(self, sent_at: float) -> None:
+        """Drops calls sent before an answered one from the evidence of a pause.
+
+        A call that others have overtaken is a long call, not a sign of a paused server.
+        """
+        self.newest_answered_sent = max(self.newest_answered_sent, sent_at)
+        limit = self.newest_answered_sent + _SAME_CALL_S
+        while self.unanswered and self.unanswered[0] <= limit:
+            self.unanswered.popleft()
+
+    def forgotten(self, sent_at: float) -> None:
+        """Drops one call that ended without an answer from the evidence of a pause."""
+        for index, each in enumerate(self.unanswered):
+            if abs(each - sent_at) <= _SAME_CALL_S:
+                del self.unanswered[index]
+                return
+
+    def reported(self, now: float, report: load_report.LoadReport) -> None:
+        """Takes over a load report that arrived at `now`."""
+        self.report_at = now - self.distance_s / 2.0
+        self.in_flight = report.running + report.queued
+        self.limit = float(max(1, report.limit))
+        if report.service_time_us > 0:
+            self.reported_service_s = report.service_time_us / 1e6
+        # Calls sent within one round trip cannot be part of the report.
+        since = now - self.distance_s
+        count = 0
+        for sent_at in reversed(self.recent_sent):
+            if sent_at <= since:
+                break
+            count += 1
+        self.sent_since = min(count, self.outstanding)
+
+    def measured(self, now: float, latency_s: float) -> None:
+        """Takes over the latency of an answered call, without network and queue."""
+        queue_factor = max(1.0, self.in_flight / self.limit)
+        value = max(0.0, latency_s - self.distance_s) / queue_factor
+        latencies = self.latencies
+        if latencies and value < 0.5 * (self.service_s or 0.0):
+            while latencies and latencies[0][0] < now - _GOOD_NEWS_AGE_S:
+                latencies.popleft()
+        latencies.append((now, value))
+        self._estimate_service()
+
+    def failed(self, now: float) -> None:
+        """Raises the failure score."""
+        score = self.failure_score(now)
+        self.failure_value = score + (1.0 - score) * _FAILURE_STEP
+        self.failure_at = now
+
+    def succeeded(self, now: float) -> bool:
+        """Lowers the failure score and returns whether the server was failing."""
+        if self.failure_value <= 0.0:
+            return False
+        score = self.failure_score(now)
+        self.failure_value = score * _SUCCESS_FACTOR if score > 0.01 else 0.0
+        self.failure_at = now
+        return score >= FAILING_SCORE
+
+    def _estimate_service(self) -> None:
+        """Corrects the reported service time by what calls show.
+
+        The second lowest of the recent latencies bounds it from below, twice their median from
+        above. Both ignore a minority of large calls.
+        """
+        values = sorted([value for _, value in self.latencies])
+        low = values[min(1, len(values) - 1)]
+        high = max(low, 2.0 * values[len(values) // 2])
+        if self.reported_service_s is None:
+            self.service_s = values[len(values) // 2]
+        else:
+            self.service_s = min(max(self.reported_service_s, low), high)
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/choice/chooser.py
@@ -0,0 +1,36 @@
+"""Methods that every chooser has."""
+
+import collections.abc
+import typing
+
+from laburnumford_policy.choice import candidate, explanation, load_report, result
+
+
+class Chooser(typing.Protocol):
+    """Chooses a backend server for each call of one service.
+
+    Each `observe_sent` is followed by one `observe_answer`, whatever the end of the call. Names
+    that are not candidates are ignored. `now` is seconds of the monotonic clock.
+    """
+
+    def apply(self, candidates: collections.abc.Iterable[candidate.Candidate], now: float) -> None:
+        """Replaces the candidates and keeps what is known of those that remain."""
+
+    def choose(self, now: float, excluded: collections.abc.Set[str] = frozenset()) -> str | None:
+        """Returns the name of a candidate outside `excluded`, or None if there is none."""
+
+    def observe_sent(self, name: str, now: float) -> None:
+        """Records that a call was sent to the server."""
+
+    def observe_answer(
+        self,
+        name: str,
+        now: float,
+        latency_s: float,
+        report: load_report.LoadReport | None,
+        result: result.Result,
+    ) -> None:
+        """Records the end of a call, sent `latency_s` seconds before `now`."""
+
+    def explain(self, now: float) -> tuple[explanation.Explanation, ...]:
+        """Returns one row for each candidate, in order of name."""
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/choice/load_report.py
@@ -0,0 +1,54 @@
+"""Load report that travels in the `laburnumford-load` header."""
+
+import dataclasses
+
+from laburnumford_policy.choice import errors
+
+_FIELDS = ("running", "queued", "limit", "service_time_us")
+_MAX_VALUE = 2**53 - 1  # Largest integer that a float represents exactly.
+_MAX_DIGITS = 16  # Bounds the conversion of a hostile header.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of a backend server when its adjacent node sent an answer.
+
+    Attributes:
+        running: calls that hold a slot.
+        queued: calls that wait for a slot.
+        limit: concurrency limit in force, at least 1.
+        service_time_us: time a call holds a slot, in microseconds.
+    """
+
+    running: int
+    queued: int
+    limit: int
+    service_time_us: int
+
+    def encode(self) -> str:
+        """Returns the header value, `running;queued;limit;service_time_us`."""
+        return f"{self.running};{self.queued};{self.limit};{self.service_time_us}"
+
+    @classmethod
+    def decode(cls, text: str) -> "LoadReport":
+        """Reads a header value.
+
+        Raises:
+            LoadReportError: the text does not have four integers in range.
+        """
+        parts = text.strip().split(";")
+        if len(parts) != len(_FIELDS):
+            raise errors.LoadReportError(
+                f"load report {text[:64]!r} has {len(parts)} fields; allowed: {len(_FIELDS)}"
+            )
+        values = []
+        for field, part in zip(_FIELDS, parts, strict=True):
+            lowest = 1 if field == "limit" else 0
+            digits = part.isascii() and part.isdigit() and len(part) <= _MAX_DIGITS
+            if not digits or not lowest <= int(part) <= _MAX_VALUE:
+                raise errors.LoadReportError(
+                    f"load report field {field} is {part[:64]!r}; "
+                    f"allowed: an integer from {lowest} to {_MAX_VALUE}"
+                )
+            values.append(int(part))
+        return cls(*values)
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/choice/result.py
@@ -0,0 +1,12 @@
+"""How a call to a backend server ended."""
+
+import enum
+
+
+class Result(enum.Enum):
+    """How a call ended, as the choosing node saw it."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
