--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -4,7 +4,6 @@
 import itertools
 from collections.abc import Callable, Sequence
 
-from laburnumford_policy import choice
 from laburnumford_policy.admission import admission as admissions
 from laburnumford_policy.admission import changes as admission_changes
 from laburnumford_policy.admission import entry, outcome
@@ -13,6 +12,7 @@
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import client_connection, fields, pool
 from laburnumford_node.http import errors as http_errors
+from laburnumford_policy import choice
 
 _REASON_BY_REFUSAL = {
     "overloaded": reason.Reason.OVERLOADED,
@@ -45,6 +45,7 @@
         self._clock = clock
         self._entry_ids = itertools.count(1)
         self._waiting_by_id: dict[int, asyncio.Future[None]] = {}
+        self._slots = 0
         self.server_draining = False
         self.last_call_s = clock()
         self.calls_count = 0
@@ -114,6 +115,16 @@
             ongoing, connection, method, target, head, payload, on_informational, deadline_s
         )
 
+    def apply_limits(self, *, slots: int, limiter_name: str) -> None:
+        """Takes over the published slots of the server, if they changed.
+
+        Requests that run or wait keep their place in the former admission and end there.
+        """
+        if slots == self._slots:
+            return
+        self._slots = slots
+        self._admission = admissions.Admission(slots=slots, limiter_name=limiter_name)
+
     def drain(self) -> None:
         """Refuses new requests; queued and running ones end."""
         self._admission.drain()
--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -4,7 +4,6 @@
 import functools
 from collections.abc import Callable
 
-from laburnumford_policy import choice
 from laburnumford_policy.retry import call_facts, cause, decision, failure, proof
 
 from laburnumford_node import (
@@ -20,6 +19,7 @@
     view,
 )
 from laburnumford_node.http import client_connection, fields
+from laburnumford_policy import choice
 
 _RETRY_OWN_REASONS = frozenset({reason.Reason.DEADLINE})
 
@@ -77,15 +77,13 @@
         resends = ongoing_call.resends
         maybe_ran = False
         while True:
-            name = self._choose(ongoing_call, state, excluded)
+            name = self._choose(state, excluded)
             if name is None:
                 raise errors.RefusedError(
                     reason.Reason.NO_SERVER, f"no backend server for {ongoing_call.service}"
                 )
             try:
-                return await self._attempt(
-                    ongoing_call, state, name, resends, on_informational
-                )
+                return await self._attempt(ongoing_call, state, name, resends, on_informational)
             except errors.AttemptError as error:
                 maybe_ran = maybe_ran or isinstance(error, errors.UnknownOutcomeError)
                 decided = self._decide(ongoing_call, state, error, resends)
@@ -99,7 +97,6 @@
 
     def _choose(
         self,
-        ongoing_call: call.Call,
         state: service_state.ServiceState,
         excluded: frozenset[str],
     ) -> str | None:
@@ -164,13 +161,13 @@
         except BaseException:
             ended(None, choice.Result.CANCELLED)
             raise
-        version = fields.get(ongoing.response.fields, header_names.VERSION)
+        version = fields.get(ongoing.answer.fields, header_names.VERSION)
         if version is not None:
             self._on_peer_version(version)
         report = (
             self._server.report()
             if name == self._server_name
-            else peer_client.load_report(ongoing.response.fields)
+            else peer_client.load_report(ongoing.answer.fields)
         )
         ended(report, choice.Result.ANSWERED)
         return ongoing
--- a/packages/node/src/laburnumford_node/edge.py
+++ b/packages/node/src/laburnumford_node/edge.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from laburnumford_objects import policy, route
-
 from laburnumford_node import (
     call,
     dispatch,
@@ -21,6 +19,7 @@
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields, request, server_connection
+from laburnumford_objects import policy, route
 
 MAX_DEPTH = 18
 _IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE"})
@@ -104,7 +103,7 @@
             connection.abort()
         except http_errors.BadMessageError as error:
             result = "refused"
-            self._write_bad_body(received, connection, error)
+            self._write_bad_body(connection, error)
         except http_errors.HttpError:
             connection.abort()
         finally:
@@ -202,7 +201,6 @@
 
     def _write_bad_body(
         self,
-        received: request.Request,
         connection: server_connection.ServerConnection,
         error: http_errors.BadMessageError,
     ) -> None:
--- a/packages/node/src/laburnumford_node/exchange.py
+++ b/packages/node/src/laburnumford_node/exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from laburnumford_node import payload as payloads
-from laburnumford_node.http import client_connection, errors, fields, response
+from laburnumford_node.http import body, client_connection, errors, fields, response
 
 Release = Callable[[bool], None]
 """Called once at the end; the argument says whether the answer was received whole."""
@@ -27,14 +27,14 @@
         self._upload: asyncio.Task[None] | None = None
         self._upload_error: errors.HttpError | None = None
         self._ended = False
-        self._response: response.Response | None = None
+        self._answer: response.Response | None = None
 
     @property
-    def response(self) -> response.Response:
+    def answer(self) -> response.Response:
         """The answer whose header section has arrived."""
-        if self._response is None:
+        if self._answer is None:
             raise RuntimeError("the answer has not arrived")
-        return self._response
+        return self._answer
 
     @property
     def caller_error(self) -> errors.HttpError | None:
@@ -80,8 +80,8 @@
             self._upload = asyncio.get_running_loop().create_task(
                 self._send_stream(payload, ask_first)
             )
-        self._response = await connection.answer()
-        return self._response
+        self._answer = await connection.answer()
+        return self._answer
 
     async def end(self, *, whole: bool) -> None:
         """Ends the exchange and gives the connection back.
@@ -127,7 +127,7 @@
             # The waiting answer fails with the connection.
             connection.close()
 
-    async def _read(self, stream: payloads.body.Body) -> bytes:
+    async def _read(self, stream: body.Body) -> bytes:
         try:
             return await stream.read()
         except errors.HttpError as error:
--- /dev/null
+++ b/packages/node/src/laburnumford_node/node.py
@@ -0,0 +1,262 @@
+"""One node: its parts, their start and their end."""
+
+import asyncio
+import dataclasses
+import gc
+import logging
+import random
+import time
+from typing import Any
+
+from laburnumford_policy.admission import admission
+from laburnumford_policy.once import ticket_book
+
+from laburnumford_fleet import fleet as fleets
+from laburnumford_node import (
+    adjacent,
+    dispatch,
+    edge,
+    metrics,
+    pages,
+    peer,
+    peer_client,
+    problem,
+    service_state,
+    ticket_desk,
+    tracing,
+    view,
+)
+from laburnumford_node.http import pool, server, server_connection
+from laburnumford_objects import node_settings, object_set
+
+_LOG = logging.getLogger("laburnumford.node")
+_HOUSEKEEPING_INTERVAL_S = 0.5
+_LEAVE_GRACE_S = 1.0
+"""After the node has begun to drain, peers learn it from refusals; the listeners close
+after this time, so that requests on the way are refused instead of reset."""
+
+
+class Node:
+    """Assembles the parts of a node.
+
+    Args:
+        settings: settings of the node.
+    """
+
+    def __init__(self, settings: node_settings.NodeSettings) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._generator = random.Random(settings.seed)
+        self._view: view.View | None = None
+        self._drain_requested = asyncio.Event()
+        self._housekeeper: asyncio.Task[None] | None = None
+        self._metrics = metrics.Metrics()
+        self._fleet = fleets.Fleet(
+            settings=settings, generator=self._generator, on_apply=self._apply
+        )
+        self._tracer = tracing.Tracer(
+            node=settings.backend_server,
+            path=settings.trace.path,
+            sample_ratio=settings.trace.sample_ratio,
+            generator=self._generator,
+        )
+        self._build_path()
+        self._pages = pages.Pages(
+            address=settings.operator_address,
+            status=self.status,
+            explain=self.explain,
+            counters=self._metrics,
+        )
+
+    def _build_path(self) -> None:
+        settings = self._settings
+        limits = settings.limits
+        clock = self._clock
+        self._backend_connections = pool.Pool(
+            clock=clock,
+            connect_timeout_s=limits.connect_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        self._peer_connections = pool.Pool(
+            clock=clock,
+            connect_timeout_s=limits.connect_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            greeting=peer_client.greet,
+        )
+        # The published slots replace this first limit when a version is in force.
+        self._adjacent = adjacent.AdjacentServer(
+            address=settings.backend_address,
+            admission=admission.Admission(slots=1, limiter_name=settings.limiter),
+            connections=self._backend_connections,
+            clock=clock,
+        )
+        peers = peer_client.PeerClient(connections=self._peer_connections, clock=clock)
+        self._states = service_state.ServiceStates(
+            chooser_name=settings.chooser,
+            zone_name=settings.zone,
+            server_name=settings.backend_server,
+            current=self._current_view,
+            usable=self._fleet.live,
+            generator=self._generator,
+            clock=clock,
+        )
+        dispatcher = dispatch.Dispatcher(
+            server_name=settings.backend_server,
+            server=self._adjacent,
+            peers=peers,
+            states=self._states,
+            current=self._current_view,
+            on_peer_version=self._observe_peer_version,
+            counters=self._metrics,
+            clock=clock,
+        )
+        incarnation = self._fleet.incarnation
+        self._tickets = ticket_desk.TicketDesk(
+            node=settings.backend_server,
+            incarnation=incarnation,
+            book=ticket_book.TicketBook(node=settings.backend_server, incarnation=incarnation),
+            dispatch=dispatcher.dispatch,
+            peers=peers,
+            current=self._current_view,
+            clock=clock,
+        )
+        self._edge = edge.EdgeListener(
+            dispatcher=dispatcher,
+            tickets=self._tickets,
+            current=lambda: self._view,
+            tracer=self._tracer,
+            counters=self._metrics,
+            clock=clock,
+        )
+        self._peer = peer.PeerListener(
+            node=settings.backend_server,
+            incarnation=f"{incarnation:016x}",
+            server=self._adjacent,
+            owner_handler=self._edge.handle_as_owner,
+            version=lambda: self._fleet.version,
+            on_peer_version=self._observe_peer_version,
+            tracer=self._tracer,
+            clock=clock,
+        )
+        self._edge_server = self._listener(settings.edge_address, self._edge.handle)
+        self._peer_server = self._listener(settings.peer_address, self._peer.handle)
+
+    def _listener(self, address: str, handler: server_connection.Handler) -> server.Server:
+        limits = self._settings.limits
+        return server.Server(
+            address=address,
+            handler=handler,
+            on_failure=problem.answer_bad_message,
+            max_connections=limits.edge_connections,
+            header_bytes=limits.header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            clock=self._clock,
+        )
+
+    async def run(self) -> None:
+        """Runs the node until `request_drain` is called and the work in flight has ended."""
+        await self.start()
+        _LOG.info("node: ready")
+        await self._drain_requested.wait()
+        await self.drain()
+
+    async def start(self) -> None:
+        """Learns the version in force, then takes calls."""
+        await self._pages.start()
+        await self._fleet.start()
+        await self._peer_server.start()
+        await self._edge_server.start()
+        self._housekeeper = asyncio.get_running_loop().create_task(self._keep_house())
+        # Objects that live as long as the process need no further collection runs.
+        gc.collect()
+        gc.freeze()
+
+    def request_drain(self) -> None:
+        """Asks `run` to end; safe as a signal handler of the event loop."""
+        self._drain_requested.set()
+
+    async def drain(self) -> None:
+        """Refuses new work, ends the work in flight and closes everything."""
+        _LOG.info("node: draining")
+        self._edge.draining = True
+        self._tickets.draining = True
+        self._adjacent.drain()
+        grace_s = self._settings.grace_s
+        await asyncio.sleep(min(_LEAVE_GRACE_S, grace_s))
+        resets = await asyncio.gather(
+            self._edge_server.drain(grace_s), self._peer_server.drain(grace_s)
+        )
+        if sum(resets):
+            _LOG.error("node: %d requests were cut after %g s of grace", sum(resets), grace_s)
+        await self.close()
+        _LOG.info("node: stopped")
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        if self._housekeeper is not None:
+            self._housekeeper.cancel()
+            await asyncio.gather(self._housekeeper, return_exceptions=True)
+        await self._edge_server.close()
+        await self._peer_server.close()
+        self._backend_connections.close()
+        self._peer_connections.close()
+        await self._fleet.close()
+        await self._pages.close()
+        self._tracer.close()
+
+    def status(self) -> dict[str, Any]:
+        """Returns the status document of the operators' pages."""
+        load = self._adjacent.report()
+        return {
+            "node": self._settings.name,
+            "backend_server": self._settings.backend_server,
+            "workspace": self._settings.workspace,
+            "zone": self._settings.zone,
+            "draining": self._edge.draining,
+            "server": {
+                **dataclasses.asdict(load),
+                "draining": self._adjacent.server_draining,
+                "calls": self._adjacent.calls_count,
+            },
+            "connections": {
+                "edge": self._edge_server.connection_count,
+                "peer": self._peer_server.connection_count,
+                "refused": self._edge_server.refused_connections,
+                "stale_requests": self._peer.stale_connections,
+            },
+            "calls": self._metrics.snapshot(),
+            "fleet": self._fleet.status(),
+        }
+
+    def explain(self, service: str) -> list[dict[str, Any]] | None:
+        """Returns one row per backend server of a service, or None if it is unknown."""
+        if self._view is None or service not in self._view.server_names_by_service:
+            return None
+        rows = self._states.state(service).chooser.explain(self._clock())
+        return [dataclasses.asdict(row) for row in rows]
+
+    def _current_view(self) -> view.View:
+        if self._view is None:
+            raise RuntimeError("no version is in force")
+        return self._view
+
+    def _apply(self, objects: object_set.ObjectSet, version: int) -> None:
+        self._view = view.build(objects, version)
+        own = self._view.servers_by_name.get(self._settings.backend_server)
+        if own is not None:
+            self._adjacent.apply_limits(slots=own.slots, limiter_name=self._settings.limiter)
+        self._states.apply()
+        _LOG.info("node: version %d in force", version)
+
+    def _observe_peer_version(self, value: bytes) -> None:
+        if value.isdigit() and len(value) <= 18:
+            self._fleet.observe_peer_version("", int(value))
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
+            self._backend_connections.sweep()
+            self._peer_connections.sweep()
+            if self._view is not None:
+                self._states.apply()
--- a/packages/node/src/laburnumford_node/payload.py
+++ b/packages/node/src/laburnumford_node/payload.py
@@ -49,7 +49,9 @@
     if length is not None and length <= SMALL_BODY_BYTES:
         await received.body.wait_whole(SMALL_BODY_BYTES)
         return Payload(data=received.body.take(), content_length=length)
-    whole = read_chunked and received.chunked and await received.body.wait_whole(_SMALL_CHUNKED_BYTES)
+    whole = (
+        read_chunked and received.chunked and await received.body.wait_whole(_SMALL_CHUNKED_BYTES)
+    )
     if whole and not received.body.trailers:
         data = received.body.take()
         return Payload(data=data, content_length=len(data))
--- a/packages/node/src/laburnumford_node/peer.py
+++ b/packages/node/src/laburnumford_node/peer.py
@@ -3,9 +3,18 @@
 import secrets
 from collections.abc import Awaitable, Callable
 
-from laburnumford_node import adjacent, errors, header_names, outcome, problem, reason, relay
+from laburnumford_node import (
+    adjacent,
+    errors,
+    header_names,
+    outcome,
+    peer_client,
+    problem,
+    reason,
+    relay,
+    tracing,
+)
 from laburnumford_node import payload as payloads
-from laburnumford_node import peer_client, tracing
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields, request, server_connection
 
@@ -130,14 +139,14 @@
                 target=received.target,
                 head=self._server_head(received, deadline_s, span),
                 payload=payload,
-                priority=(
-                    fields.get(received.fields, header_names.PRIORITY) or b"lookup"
-                ).decode("latin-1"),
+                priority=(fields.get(received.fields, header_names.PRIORITY) or b"lookup").decode(
+                    "latin-1"
+                ),
                 deadline_s=deadline_s,
                 on_informational=_forwarder(connection),
             )
             await relay.relay(
-                ongoing, received, connection, self._answer_head(ongoing.response.fields)
+                ongoing, received, connection, self._answer_head(ongoing.answer.fields)
             )
         except errors.AttemptError as error:
             span.set("laburnumford.reason", error.why.label)
--- a/packages/node/src/laburnumford_node/peer_client.py
+++ b/packages/node/src/laburnumford_node/peer_client.py
@@ -3,12 +3,11 @@
 import time
 from collections.abc import Callable, Sequence
 
-from laburnumford_policy import choice
-
 from laburnumford_node import errors, exchange, header_names, reason
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import client_connection, fields, pool
 from laburnumford_node.http import errors as http_errors
+from laburnumford_policy import choice
 
 HELLO_TARGET = b"/.laburnumford/hello"
 
@@ -144,15 +143,15 @@
 
 async def _raise_problem(ongoing: exchange.Exchange) -> None:
     """Raises the error that a node's own answer stands for."""
-    head = ongoing.response.fields
+    head = ongoing.answer.fields
     outcome = fields.get(head, header_names.OUTCOME)
     label = (fields.get(head, header_names.REASON) or b"").decode("latin-1")
     why = reason.BY_LABEL.get(label, reason.Reason.SERVER_FAILED)
     report = load_report(head)
     # The problem body is small; taking it whole keeps the connection reusable.
     try:
-        whole = await ongoing.response.body.wait_whole(payloads.SMALL_BODY_BYTES)
-        ongoing.response.body.take()
+        whole = await ongoing.answer.body.wait_whole(payloads.SMALL_BODY_BYTES)
+        ongoing.answer.body.take()
     except http_errors.HttpError:
         whole = False
     await ongoing.end(whole=whole)
--- a/packages/node/src/laburnumford_node/relay.py
+++ b/packages/node/src/laburnumford_node/relay.py
@@ -59,7 +59,7 @@
     Raises:
         UnknownOutcomeError: the answer broke off.
     """
-    answer = ongoing.response
+    answer = ongoing.answer
     close = not received.keep_alive or not received.body.received
     if received.version == "1.0":
         close = True
--- a/packages/node/src/laburnumford_node/ticket_desk.py
+++ b/packages/node/src/laburnumford_node/ticket_desk.py
@@ -165,7 +165,7 @@
         ticketed: call.Call,
         connection: server_connection.ServerConnection,
     ) -> None:
-        answer = ongoing.response
+        answer = ongoing.answer
         head = relay.caller_head(answer)
         length = answer.content_length
         small = answer.bodyless or (length is not None and length <= _KEPT_ANSWER_BYTES)
@@ -226,7 +226,7 @@
                 reason.Reason.TICKET_OWNER_GONE, error.detail
             ) from error
         await relay.relay(
-            ongoing, ticketed.received, connection, relay.caller_head(ongoing.response)
+            ongoing, ticketed.received, connection, relay.caller_head(ongoing.answer)
         )
 
 
@@ -267,7 +267,8 @@
 ) -> None:
     if kept is None:
         raise errors.UnknownOutcomeError(
-            reason.Reason.TICKET_DONE, "the request ran to its end; its answer was too large to keep"
+            reason.Reason.TICKET_DONE,
+            "the request ran to its end; its answer was too large to keep",
         )
     _write_kept(kept, received, connection)
 
