--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -4,15 +4,14 @@
 import itertools
 from collections.abc import Callable, Sequence
 
-from laburnumford_policy.admission import admission as admissions
-from laburnumford_policy.admission import changes as admission_changes
-from laburnumford_policy.admission import entry, outcome
-
 from laburnumford_node import errors, exchange, header_names, reason
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import client_connection, fields, pool
 from laburnumford_node.http import errors as http_errors
 from laburnumford_policy import choice
+from laburnumford_policy.admission import admission as admissions
+from laburnumford_policy.admission import changes as admission_changes
+from laburnumford_policy.admission import entry, outcome
 
 _REASON_BY_REFUSAL = {
     "overloaded": reason.Reason.OVERLOADED,
--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -4,8 +4,6 @@
 import functools
 from collections.abc import Callable
 
-from laburnumford_policy.retry import call_facts, cause, decision, failure, proof
-
 from laburnumford_node import (
     adjacent,
     call,
@@ -20,6 +18,7 @@
 )
 from laburnumford_node.http import client_connection, fields
 from laburnumford_policy import choice
+from laburnumford_policy.retry import call_facts, cause, decision, failure, proof
 
 _RETRY_OWN_REASONS = frozenset({reason.Reason.DEADLINE})
 
--- a/packages/node/src/laburnumford_node/edge.py
+++ b/packages/node/src/laburnumford_node/edge.py
@@ -171,7 +171,7 @@
             await self._tickets.answer(ongoing_call, key.decode("latin-1"), connection)
             return
         ongoing = await self._dispatcher.dispatch(ongoing_call, _forwarder(received, connection))
-        await relay.relay(ongoing, received, connection, relay.caller_head(ongoing.response))
+        await relay.relay(ongoing, received, connection, relay.caller_head(ongoing.answer))
 
     def _write_problem(
         self,
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -136,11 +136,7 @@
             self._continue_waiter.set_result(False)
         if self._head_waiter is not None and not self._head_waiter.done():
             self._head_waiter.set_result(answer)
-        if (
-            answer.bodyless
-            and self._method == b"HEAD"
-            and (answer.content_length or answer.chunked)
-        ):
+        if self._method == b"HEAD" and answer.content_length != 0:
             # llhttp cannot be told that this answer has no body, so the parser is
             # of no use after it and the connection ends here.
             self._poisoned = True
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, cast
 
@@ -18,6 +19,7 @@
 _WRITE_HIGH_WATER_BYTES = 32 * 1024
 _MAX_PIPELINED_REQUESTS = 1
 _MAX_FIELDS = 256
+_LINGER_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -71,7 +73,7 @@
         self._trailers: list[fields.Field] = []
         self._section_bytes = 0
         self._in_header_section = False
-        self._broken = False
+        self._discarding = False
         self.last_activity_s = clock()
         self.header_started_s: float | None = None
         self.answer_started = False
@@ -91,7 +93,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes."""
-        if self._broken:
+        if self._discarding:
             return
         self.last_activity_s = self._clock()
         if self._reading_body is None:
@@ -270,15 +272,32 @@
                     return
                 if isinstance(received, errors.BadMessageError):
                     self._on_failure(self, received)
-                    self.close()
+                    await self._linger()
                     return
                 if not await self._answer(received):
-                    self.close()
+                    if not received.body.received:
+                        await self._linger()
                     return
         finally:
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
 
+    async def _linger(self) -> None:
+        """Discards what the caller still sends, for a bounded time.
+
+        Closing with unread bytes resets the connection, and the caller may lose the
+        answer that was written last.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._discarding = True
+        self._transport.write_eof()
+        self.resume_reading()
+        self._request_waiter = asyncio.get_running_loop().create_future()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LINGER_S):
+                await self._request_waiter
+
     async def _next_request(self) -> request.Request | errors.BadMessageError | None:
         while not self._requests:
             if self._lost or self._draining:
@@ -351,8 +370,7 @@
         )
 
     def _fail(self, error: errors.BadMessageError) -> None:
-        self._broken = True
-        self.pause_reading()
+        self._discarding = True
         if self._reading_body is not None:
             self._reading_body.fail(error)
             self._close_after_answer = True
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -8,9 +8,6 @@
 import time
 from typing import Any
 
-from laburnumford_policy.admission import admission
-from laburnumford_policy.once import ticket_book
-
 from laburnumford_fleet import fleet as fleets
 from laburnumford_node import (
     adjacent,
@@ -28,6 +25,8 @@
 )
 from laburnumford_node.http import pool, server, server_connection
 from laburnumford_objects import node_settings, object_set
+from laburnumford_policy.admission import admission
+from laburnumford_policy.once import ticket_book
 
 _LOG = logging.getLogger("laburnumford.node")
 _HOUSEKEEPING_INTERVAL_S = 0.5
--- a/packages/node/src/laburnumford_node/service_state.py
+++ b/packages/node/src/laburnumford_node/service_state.py
@@ -3,12 +3,11 @@
 import random
 from collections.abc import Callable
 
-from laburnumford_policy.retry import retry_budget as budgets
-from laburnumford_policy.retry import retry_policy as policies
-
 from laburnumford_node import view
 from laburnumford_objects import backend_server, policy, zone
 from laburnumford_policy import choice
+from laburnumford_policy.retry import retry_budget as budgets
+from laburnumford_policy.retry import retry_policy as policies
 
 
 class ServiceState:
--- a/packages/node/src/laburnumford_node/ticket_desk.py
+++ b/packages/node/src/laburnumford_node/ticket_desk.py
@@ -5,9 +5,6 @@
 import json
 from collections.abc import Awaitable, Callable
 
-from laburnumford_policy.once import begin_state, kept_answer, ticket, ticket_book
-from laburnumford_policy.once import errors as once_errors
-
 from laburnumford_node import (
     call,
     errors,
@@ -22,6 +19,8 @@
 )
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields, request, server_connection
+from laburnumford_policy.once import begin_state, kept_answer, ticket, ticket_book
+from laburnumford_policy.once import errors as once_errors
 
 ISSUE_PATH = "/.laburnumford/tickets"
 _MAX_ISSUED = 100
