--- a/packages/testkit/src/laburnumford_testkit/__init__.py
+++ b/packages/testkit/src/laburnumford_testkit/__init__.py
@@ -1,1 +1,21 @@
 """Stand-ins, load, fault proxy, judge and benches of laburnumford."""
+
+from laburnumford_testkit import (
+    backend,
+    caller,
+    content,
+    errors,
+    listening,
+    platform,
+    processes,
+)
+
+__all__ = [
+    "backend",
+    "caller",
+    "content",
+    "errors",
+    "listening",
+    "platform",
+    "processes",
+]
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/backend/client.py
@@ -0,0 +1,60 @@
+"""Steers a backend server stand-in in another process from a test."""
+
+import json
+from typing import Any
+
+import aiohttp
+
+from laburnumford_testkit import errors
+from laburnumford_testkit.backend import fault as fault_module
+from laburnumford_testkit.backend import run as run_module
+
+TIMEOUT_S = 30.0
+
+
+class BackendClient:
+    """The admin side of a backend server stand-in.
+
+    Args:
+        url: base URL of the stand-in.
+    """
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url.rstrip("/")
+
+    async def set_fault(self, fault: fault_module.Fault) -> None:
+        """Replaces the fault."""
+        await self._request("PUT", "fault", fault.encode())
+
+    async def set_draining(self, draining: bool) -> None:
+        """Sets whether answers carry `laburnumford-draining: 1`."""
+        await self._request("PUT", "drain", {"draining": draining})
+
+    async def counters(self) -> dict[str, int]:
+        """Returns the counters of `Server.counters`."""
+        found: dict[str, int] = await self._request("GET", "counters")
+        return found
+
+    async def runs(self) -> tuple[run_module.Run, ...]:
+        """Returns the log of runs."""
+        log = await self._request("GET", "log")
+        return tuple(run_module.Run(**run) for run in log["runs"])
+
+    async def measuring(self) -> tuple[tuple[float, int], ...]:
+        """Returns time and bytes of each health and load request."""
+        log = await self._request("GET", "log")
+        return tuple((at, size) for at, size in log["measuring"])
+
+    async def _request(self, method: str, name: str, value: Any = None) -> Any:
+        data = None if value is None else json.dumps(value)
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, f"{self._url}/admin/{name}", data=data) as response,
+        ):
+            if response.status >= 400:
+                raise errors.TestkitError(
+                    f"{method} {response.url} was answered {response.status}: "
+                    f"{await response.text()}"
+                )
+            return await response.json()
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/caller/load.py
@@ -0,0 +1,75 @@
+"""Open-loop load."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Sequence
+
+from laburnumford_testkit.caller import call as call_module
+from laburnumford_testkit.caller import caller as caller_module
+
+MAX_CALLS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """Poisson arrivals of a mix of calls, spread over addresses.
+
+    Attributes:
+        calls: kinds of calls, weighed by their `share`.
+        addresses: `ip:port` of the nodes, chosen at random for each call.
+        rate_per_s: mean arrivals per second.
+        duration_s: length of the load.
+        max_calls: bound on the number of calls.
+        max_outstanding: calls in flight above which an arrival is skipped and counted.
+        seed: seed of arrivals, kinds and addresses.
+    """
+
+    calls: Sequence[call_module.Call]
+    addresses: Sequence[str]
+    rate_per_s: float
+    duration_s: float
+    max_calls: int = MAX_CALLS
+    max_outstanding: int = 5000
+    seed: int = 1
+
+
+async def run(load: Load, caller: caller_module.Caller) -> int:
+    """Runs a load until all of its calls have ended.
+
+    Arrivals do not wait for answers. The time at which a call was due counts
+    towards its latency, so a late generator does not hide a slow system.
+
+    Returns:
+        Arrivals that were skipped because of `max_outstanding`.
+    """
+    generator = random.Random(load.seed)
+    shares = [call.share for call in load.calls]
+    outstanding: set[asyncio.Task[object]] = set()
+    skipped = 0
+    started = 0
+    begin = time.monotonic()
+    due = begin + generator.expovariate(load.rate_per_s)
+    try:
+        while due < begin + load.duration_s and started < load.max_calls:
+            delay_s = due - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            call = generator.choices(load.calls, shares)[0]
+            address = generator.choice(load.addresses)
+            started += 1
+            if len(outstanding) >= load.max_outstanding:
+                skipped += 1
+            else:
+                task: asyncio.Task[object] = asyncio.create_task(caller.call(call, address, due))
+                outstanding.add(task)
+                task.add_done_callback(outstanding.discard)
+            due += generator.expovariate(load.rate_per_s)
+        if outstanding:
+            # Each call is bounded by its own timeout and number of repeats.
+            await asyncio.wait(outstanding)
+    finally:
+        for task in list(outstanding):
+            task.cancel()
+    return skipped
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/caller/record.py
@@ -0,0 +1,52 @@
+"""What a caller saw of one request."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Record:
+    """One request of a call, with its answer.
+
+    A call may take several requests: one that obtains a ticket, one with the
+    ticket, and repeats. `call` joins them, `call_id` names the request. Times
+    are seconds of the monotonic clock, which all processes of one machine
+    share.
+
+    Attributes:
+        call: id of the call.
+        call_id: id of the request, sent as `x-call-id`.
+        kind: kind of the call.
+        key: ticket sent with the request, or empty.
+        target: address that the request was sent to.
+        due: time at which the load wanted to start the call.
+        sent: time at which the request was written.
+        answered: time of the end of the answer, None if it did not end.
+        status: status of the answer, None if there was none.
+        outcome: value of `laburnumford-outcome`.
+        reason: value of `laburnumford-reason`.
+        server: value of `x-server`.
+        answer_id: value of `x-call-id` of the answer.
+        answer_bytes: bytes of the body received.
+        whole: whether the answer ended by its framing.
+        own: whether the body has the expected length and the bytes of a request of this call;
+            None where the answer is not derived from an id.
+        error: why there is no whole answer, or empty.
+    """
+
+    call: str
+    call_id: str
+    kind: str
+    key: str = ""
+    target: str = ""
+    due: float = 0.0
+    sent: float = 0.0
+    answered: float | None = None
+    status: int | None = None
+    outcome: str = ""
+    reason: str = ""
+    server: str = ""
+    answer_id: str = ""
+    answer_bytes: int = 0
+    whole: bool = False
+    own: bool | None = None
+    error: str = ""
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/platform/app.py
@@ -0,0 +1,173 @@
+"""HTTP interface of the platform stand-in."""
+
+import asyncio
+import dataclasses
+import json
+import time
+from collections.abc import Awaitable, Callable
+
+from starlette import applications, requests, responses, routing
+
+from laburnumford_testkit.platform import mode as mode_module
+from laburnumford_testkit.platform import read_limit
+from laburnumford_testkit.platform import store as store_module
+
+MAX_WAIT_S = 60.0
+
+Handler = Callable[[requests.Request], Awaitable[responses.Response]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Read:
+    """One read, for the log."""
+
+    at: float
+    key: str
+    waiting: bool
+    client: str
+    status: int
+    bytes: int
+
+
+class PlatformApp:
+    """Answers reads and watches, and the admin requests of tests.
+
+    Args:
+        reads_per_s: limit over all readers; reads above it are answered 429.
+        answer_s: delay of each answer in seconds.
+    """
+
+    def __init__(self, *, reads_per_s: int = 2000, answer_s: float = 0.0) -> None:
+        self.store = store_module.Store()
+        self.limit = read_limit.ReadLimit(reads_per_s=reads_per_s)
+        self.vms: list[dict[str, str]] = []
+        self.reads: list[Read] = []
+        self._answer_s = answer_s
+        self._frozen_vms: list[dict[str, str]] = []
+        self.asgi = applications.Starlette(
+            routes=[
+                routing.Route("/config/{key:path}", self._read, methods=["GET"]),
+                routing.Route("/vms", self._read_vms, methods=["GET"]),
+                routing.Route("/admin/config", self._list, methods=["GET"]),
+                routing.Route("/admin/config/{key:path}", self._put, methods=["PUT"]),
+                routing.Route("/admin/config/{key:path}", self._delete, methods=["DELETE"]),
+                routing.Route("/admin/vms", self._put_vms, methods=["PUT"]),
+                routing.Route("/admin/mode", self._put_mode, methods=["PUT"]),
+                routing.Route("/admin/counters", self._counters, methods=["GET"]),
+                routing.Route("/admin/reads", self._read_log, methods=["GET"]),
+            ]
+        )
+
+    def set_mode(self, mode: mode_module.Mode, revision: int | None = None) -> None:
+        """Changes the behaviour of reads, see `Store.set_mode`."""
+        self._frozen_vms = list(self.vms)
+        self.store.set_mode(mode, revision)
+
+    async def _admitted(self, request: requests.Request, answer: Handler) -> responses.Response:
+        now = time.monotonic()
+        if not self.limit.admit(now):
+            response = responses.Response("read limit exceeded", status_code=429)
+        else:
+            if self._answer_s:
+                await asyncio.sleep(self._answer_s)
+            deadline = now + MAX_WAIT_S
+            while self.store.mode is mode_module.Mode.HANG and time.monotonic() < deadline:
+                await self.store.wait_changed(deadline - time.monotonic())
+            if self.store.mode is mode_module.Mode.DOWN:
+                response = responses.Response("down", status_code=503)
+            else:
+                response = await answer(request)
+        self.reads.append(
+            Read(
+                at=now,
+                key=request.path_params.get("key", "vms"),
+                waiting="after" in request.query_params,
+                client=request.headers.get("user-agent", ""),
+                status=response.status_code,
+                bytes=len(response.body),
+            )
+        )
+        return response
+
+    async def _read(self, request: requests.Request) -> responses.Response:
+        return await self._admitted(request, self._answer_read)
+
+    async def _answer_read(self, request: requests.Request) -> responses.Response:
+        key = request.path_params["key"]
+        after = request.query_params.get("after")
+        try:
+            after_revision = None if after is None else int(after)
+            wait_s = min(MAX_WAIT_S, float(request.query_params.get("wait_s", "0")))
+        except ValueError:
+            return responses.Response("after and wait_s must be numbers", status_code=400)
+        deadline = time.monotonic() + wait_s
+        while True:
+            if self.store.mode is mode_module.Mode.DOWN:
+                return responses.Response("down", status_code=503)
+            found = self.store.get(key)
+            if after_revision is None or (found is not None and found[1] > after_revision):
+                break
+            left_s = deadline - time.monotonic()
+            if left_s <= 0 or await request.is_disconnected():
+                return responses.Response(status_code=304)
+            await self.store.wait_changed(left_s)
+        if found is None:
+            return responses.Response("no such key", status_code=404)
+        value, revision = found
+        return responses.Response(
+            value, media_type="application/octet-stream", headers={"etag": str(revision)}
+        )
+
+    async def _read_vms(self, request: requests.Request) -> responses.Response:
+        return await self._admitted(request, self._answer_vms)
+
+    async def _answer_vms(self, _request: requests.Request) -> responses.Response:
+        current = self.store.mode in (mode_module.Mode.OK, mode_module.Mode.HALF)
+        return responses.JSONResponse({"vms": self.vms if current else self._frozen_vms})
+
+    async def _list(self, _request: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {"revision": self.store.revision, "keys": list(self.store.keys())}
+        )
+
+    async def _put(self, request: requests.Request) -> responses.Response:
+        try:
+            revision = self.store.put(request.path_params["key"], await request.body())
+        except store_module.ValueTooLargeError as error:
+            return responses.Response(str(error), status_code=413)
+        return responses.JSONResponse({"revision": revision})
+
+    async def _delete(self, request: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {"revision": self.store.put(request.path_params["key"], None)}
+        )
+
+    async def _put_vms(self, request: requests.Request) -> responses.Response:
+        self.vms = json.loads(await request.body())["vms"]
+        return responses.Response(status_code=204)
+
+    async def _put_mode(self, request: requests.Request) -> responses.Response:
+        wanted = json.loads(await request.body())
+        try:
+            mode = mode_module.Mode(wanted.get("mode", self.store.mode.value))
+        except ValueError:
+            allowed = ", ".join(mode.value for mode in mode_module.Mode)
+            message = f"unknown mode {wanted['mode']!r}; allowed: {allowed}"
+            return responses.Response(message, status_code=400)
+        if "rate" in wanted:
+            self.limit.reads_per_s = int(wanted["rate"])
+        if "mode" in wanted:
+            self.set_mode(mode, wanted.get("revision"))
+        return responses.Response(status_code=204)
+
+    async def _counters(self, _request: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {
+                "admitted": self.limit.admitted,
+                "refused": self.limit.refused,
+                "peak_per_s": self.limit.peak_per_s,
+            }
+        )
+
+    async def _read_log(self, _request: requests.Request) -> responses.Response:
+        return responses.JSONResponse({"reads": [dataclasses.asdict(read) for read in self.reads]})
