Add admission with limiters and a queue per priority

Cause: the node needs a decision which requests run beside its server. Change: Admission with the limiters fixed, aimd and gradient, a bounded queue with ageing, shedding by priority, and refusal of what cannot finish in time. Entries that can no longer finish are dropped before they take a slot. The choice of the limiter and of the queue order is not measured yet.

--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/admission/__init__.py
@@ -0,0 +1,33 @@
+"""Admission of requests to the backend server beside the node."""
+
+from laburnumford_policy.admission import (
+    admission,
+    aimd_limiter,
+    changes,
+    entry,
+    fixed_limiter,
+    gradient_limiter,
+    limiter,
+    load,
+    outcome,
+    parameters,
+    priority,
+    result,
+    verdict,
+)
+
+__all__ = [
+    "admission",
+    "aimd_limiter",
+    "changes",
+    "entry",
+    "fixed_limiter",
+    "gradient_limiter",
+    "limiter",
+    "load",
+    "outcome",
+    "parameters",
+    "priority",
+    "result",
+    "verdict",
+]
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/admission/aimd_limiter.py
@@ -0,0 +1,50 @@
+"""Limiter with additive increase and multiplicative decrease."""
+
+from laburnumford_policy.admission import _baseline, limiter, parameters
+
+
+@limiter.limiters.register("aimd")
+class AimdLimiter(limiter.Limiter):
+    """Decreases the limit when the server is slow or fails, and increases it step by step.
+
+    Args:
+        slots: number of requests that the server runs at once.
+        tolerance: multiple of the baseline above which the server counts as slow.
+        backoff: factor of a decrease.
+    """
+
+    _TABLE = {
+        "slots": parameters.Range(lowest=1, whole=True),
+        "tolerance": parameters.Range(lowest=1.0),
+        "backoff": parameters.Range(lowest=0.1, highest=0.99),
+    }
+
+    def __init__(self, *, slots: int, tolerance: float = 2.0, backoff: float = 0.7) -> None:
+        parameters.check(
+            "aimd limiter",
+            self._TABLE,
+            {"slots": slots, "tolerance": tolerance, "backoff": backoff},
+        )
+        self._slots = slots
+        self._tolerance = tolerance
+        self._backoff = backoff
+        self._limit = float(slots)
+        self._baseline = _baseline.Baseline()
+        self._decreased = float("-inf")
+
+    @property
+    def limit(self) -> int:
+        """Number of requests that may run."""
+        return max(1, int(self._limit))
+
+    def observe(self, now: float, service_time_s: float, failed: bool) -> None:
+        """Takes the service time in seconds of one request that has ended."""
+        if not failed:
+            self._baseline.observe(now, service_time_s)
+        if failed or self._baseline.ratio * self._tolerance < 1.0:
+            # Requests that started before a decrease say nothing about its effect.
+            if now - self._decreased >= self._baseline.short_s:
+                self._limit = max(1.0, self._limit * self._backoff)
+                self._decreased = now
+        else:
+            self._limit = min(float(self._slots), self._limit + 1.0 / self._limit)
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/admission/gradient_limiter.py
@@ -0,0 +1,68 @@
+"""Limiter that follows the ratio of long-term to short-term service time."""
+
+from laburnumford_policy.admission import _baseline, limiter, parameters
+
+# One observation halves the limit at most.
+_LOWEST_GRADIENT = 0.5
+# A failure has no service time of its own; it counts as a clear slowdown.
+_FAILURE_GRADIENT = 0.7
+
+
+@limiter.limiters.register("gradient")
+class GradientLimiter(limiter.Limiter):
+    """Scales the limit by the long-term service time over the short-term one.
+
+    Args:
+        slots: number of requests that the server runs at once.
+        tolerance: slowdown that does not decrease the limit.
+        headroom: requests added at each step so that the limit can grow again.
+        smoothing: weight of a step.
+    """
+
+    _TABLE = {
+        "slots": parameters.Range(lowest=1, whole=True),
+        "tolerance": parameters.Range(lowest=1.0),
+        "headroom": parameters.Range(lowest=0.1),
+        "smoothing": parameters.Range(lowest=0.01, highest=1.0),
+    }
+
+    def __init__(
+        self,
+        *,
+        slots: int,
+        tolerance: float = 1.5,
+        headroom: float = 1.0,
+        smoothing: float = 0.2,
+    ) -> None:
+        parameters.check(
+            "gradient limiter",
+            self._TABLE,
+            {
+                "slots": slots,
+                "tolerance": tolerance,
+                "headroom": headroom,
+                "smoothing": smoothing,
+            },
+        )
+        self._slots = slots
+        self._tolerance = tolerance
+        self._headroom = headroom
+        self._smoothing = smoothing
+        self._limit = float(slots)
+        self._baseline = _baseline.Baseline()
+
+    @property
+    def limit(self) -> int:
+        """Number of requests that may run."""
+        return max(1, int(self._limit))
+
+    def observe(self, now: float, service_time_s: float, failed: bool) -> None:
+        """Takes the service time in seconds of one request that has ended."""
+        if failed:
+            gradient = _FAILURE_GRADIENT
+        else:
+            self._baseline.observe(now, service_time_s)
+            gradient = min(1.0, max(_LOWEST_GRADIENT, self._tolerance * self._baseline.ratio))
+        target = self._limit * gradient + self._headroom
+        moved = self._limit + self._smoothing * (target - self._limit)
+        self._limit = min(float(self._slots), max(1.0, moved))
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/admission/parameters.py
@@ -0,0 +1,40 @@
+"""Check of constructor parameters against a declared table."""
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from laburnumford_objects import errors
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Range:
+    """Allowed values of a numeric parameter.
+
+    Args:
+        lowest: smallest allowed value.
+        highest: largest allowed value.
+        whole: whether only whole numbers are allowed.
+    """
+
+    lowest: float
+    highest: float = math.inf
+    whole: bool = False
+
+
+def check(owner: str, table: Mapping[str, Range], values: Mapping[str, float]) -> None:
+    """Checks `values` against `table`.
+
+    Raises:
+        ParameterError: a value has the wrong type or lies outside its range.
+    """
+    for name, allowed in table.items():
+        value = values[name]
+        kind = int if allowed.whole else (int, float)
+        if isinstance(value, bool) or not isinstance(value, kind):
+            wanted = "a whole number" if allowed.whole else "a number"
+            raise errors.ParameterError(f"{owner}: {name} is {value!r}; allowed: {wanted}")
+        if not allowed.lowest <= value <= allowed.highest:
+            raise errors.ParameterError(
+                f"{owner}: {name} is {value!r}; allowed: {allowed.lowest} to {allowed.highest}"
+            )
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
@@ -0,0 +1,138 @@
+"""Tests of Admission."""
+
+import pytest
+
+from laburnumford_objects import errors
+from laburnumford_policy.admission import admission, entry, limiter, outcome, result
+
+RUN, QUEUED, REFUSED = outcome.Outcome.RUN, outcome.Outcome.QUEUED, outcome.Outcome.REFUSED
+ANSWERED = result.Result.ANSWERED
+
+
+@pytest.fixture
+def two_slots():
+    """Returns an admission with 2 slots and 3 places in the queue."""
+    return admission.Admission(
+        slots=2, limiter_name="fixed", queue_limit=3, ageing_s=0.5, service_time_s=0.1
+    )
+
+
+def admit(subject, entry_id, now=0.0, priority="lookup", deadline=10.0):
+    """Admits one entry and returns the verdict."""
+    return subject.admit(entry.Entry(entry_id=entry_id, priority=priority, deadline=deadline), now)
+
+
+def test_never_runs_more_than_the_slots(two_slots):
+    """Fails if a server gets more work at once than it has slots."""
+    outcomes = [admit(two_slots, number).outcome for number in range(6)]
+    assert outcomes == [RUN, RUN, QUEUED, QUEUED, QUEUED, REFUSED]
+    assert two_slots.report().running == 2
+    assert two_slots.release(0.1, 0.1, ANSWERED).started == (2,)
+
+
+def test_refuses_at_once_what_the_queue_makes_late(two_slots):
+    """Fails if a caller waits in the queue for an answer that must come too late."""
+    for number in range(4):
+        admit(two_slots, number)
+    # Third in the queue: 3 * 0.1 / 2 s of waiting and 0.1 s of service.
+    assert admit(two_slots, 4, deadline=0.24).reason == "deadline"
+    assert admit(two_slots, 5, deadline=0.26).outcome is QUEUED
+
+
+def test_serves_and_sheds_by_priority(two_slots):
+    """Fails if a statement keeps a place that a lookup needs, or is served before it."""
+    for number, priority in enumerate(("upload", "upload", "statement", "upload", "booking")):
+        admit(two_slots, number, priority=priority)
+    pushed_out = admit(two_slots, 5, priority="lookup")
+    assert (pushed_out.outcome, pushed_out.shed) == (QUEUED, (2,))
+    assert admit(two_slots, 6, priority="statement").reason == "overloaded"
+    started = [two_slots.release(0.1, 0.1, ANSWERED).started for _ in range(3)]
+    assert started == [(5,), (4,), (3,)]
+
+
+def test_ageing_serves_a_statement_before_later_lookups(two_slots):
+    """Fails if a steady flow of lookups starves a statement."""
+    admit(two_slots, 0)
+    admit(two_slots, 1)
+    admit(two_slots, 2, priority="statement")
+    admit(two_slots, 3, now=1.4)
+    admit(two_slots, 4, now=1.6)
+    assert [two_slots.release(1.7, 0.1, ANSWERED).started for _ in range(3)] == [(3,), (2,), (4,)]
+
+
+def test_starts_nothing_expired_after_a_pause(two_slots):
+    """Fails if a node that resumes late runs work whose callers have given up."""
+    for number, deadline in enumerate((100.0, 100.0, 1.0, 100.0, 2.0)):
+        admit(two_slots, number, deadline=deadline)
+    changes = two_slots.release(50.0, 50.0, ANSWERED)
+    assert changes.started == (3,)
+    assert changes.dropped == (2,)
+    assert two_slots.expire(50.0).dropped == (4,)
+
+
+def test_stalled_server_makes_new_requests_late(two_slots):
+    """Fails if the estimate ignores a server that ends nothing."""
+    admit(two_slots, 0)
+    admit(two_slots, 1)
+    # Nothing has ended for 3 s, so a service time of 0.1 s is no longer believed.
+    assert admit(two_slots, 2, now=3.0, deadline=6.0).reason == "deadline"
+
+
+def test_idle_server_is_tried_even_if_its_last_answers_were_slow(two_slots):
+    """Fails if one slow phase makes a recovered server refuse everything."""
+    admit(two_slots, 0)
+    for _ in range(20):
+        two_slots.release(5.0, 5.0, ANSWERED)
+    # Refusing here would leave the estimate at 5 s for ever.
+    assert admit(two_slots, 1, now=6.0, deadline=7.0).outcome is RUN
+
+
+def test_fast_failures_do_not_look_like_a_fast_server(two_slots):
+    """Fails if errors lower the reported service time and attract load."""
+    for number in range(50):
+        admit(two_slots, number)
+        two_slots.release(0.0, 0.0001, result.Result.FAILED)
+    assert two_slots.report().service_time_us == 100_000
+
+
+def test_drain_refuses_new_work_and_ends_the_rest(two_slots):
+    """Fails if a planned stop takes new work or drops accepted work."""
+    for number in range(3):
+        admit(two_slots, number)
+    two_slots.drain()
+    assert admit(two_slots, 3).reason == "draining"
+    assert two_slots.release(0.1, 0.1, ANSWERED).started == (2,)
+    two_slots.release(0.2, 0.1, ANSWERED)
+    two_slots.release(0.2, 0.1, ANSWERED)
+    assert two_slots.idle
+
+
+def test_cancel_removes_only_waiting_entries(two_slots):
+    """Fails if a cancelled call keeps its place or frees a slot that is in use."""
+    for number in range(3):
+        admit(two_slots, number)
+    assert [two_slots.cancel(number, 0.0) for number in (0, 2, 2)] == [False, True, False]
+    assert two_slots.report().queued == 0
+
+
+@pytest.mark.parametrize("wrong", [{"slots": 0}, {"slots": 1.5}, {"slots": 1, "queue_limit": -1}])
+def test_parameters_are_checked(wrong):
+    """Fails if a wrong setting is accepted silently."""
+    with pytest.raises(errors.ParameterError, match="allowed"):
+        admission.Admission(**wrong)
+
+
+@pytest.mark.parametrize("name", ["aimd", "gradient"])
+def test_limit_stays_between_one_and_the_slots(name):
+    """Fails if a limiter blocks a server for ever, exceeds its slots or does not recover."""
+    subject = limiter.limiters.create(name, slots=6)
+    for step in range(200):
+        subject.observe(step * 0.01, 0.01, False)
+    assert subject.limit == 6
+    for step in range(200):
+        subject.observe(2.0 + step * 0.1, 0.1, step % 2 == 0)
+        assert 1 <= subject.limit <= 6
+    assert subject.limit <= 2
+    for step in range(400):
+        subject.observe(22.0 + step * 0.01, 0.01, False)
+    assert subject.limit == 6
