--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/once/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of laburnumford_policy.once."""
