Add the fault proxy

Tests need network faults between real processes. The proxy delays, limits bandwidth, resets or truncates after a number of bytes, holds or loses bytes in one direction, and sends the byte stream to the target on a second connection. Faults change at any time, in-process or over an admin port. A connection that lost bytes in a blackhole is reset when it heals, because its stream has a hole; a pause keeps the bytes, as TCP does in a partition.

--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/faultproxy/client.py
@@ -0,0 +1,33 @@
+"""Steers a fault proxy in another process."""
+
+import json
+
+import aiohttp
+
+from laburnumford_testkit import errors
+from laburnumford_testkit.faultproxy import faults as faults_module
+
+TIMEOUT_S = 10.0
+
+
+class FaultProxyClient:
+    """The admin side of a fault proxy.
+
+    Args:
+        url: base URL of the admin port.
+    """
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url.rstrip("/")
+
+    async def set_faults(self, faults: faults_module.Faults) -> None:
+        """Replaces the faults."""
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.put(f"{self._url}/admin/faults", data=json.dumps(faults.encode())) as response,
+        ):
+            if response.status >= 400:
+                raise errors.TestkitError(
+                    f"PUT {response.url} was answered {response.status}: {await response.text()}"
+                )
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_faultproxy.py
@@ -0,0 +1,165 @@
+"""Tests of the fault proxy, in this process and as a process."""
+
+import asyncio
+import random
+import re
+import time
+
+import pytest
+import pytest_asyncio
+
+from laburnumford_testkit import caller, errors, faultproxy
+
+Call = caller.call.Call
+Direction = faultproxy.faults.DirectionFaults
+Faults = faultproxy.faults.Faults
+
+
+@pytest_asyncio.fixture
+async def proxied(start_server):
+    """A backend server stand-in behind a proxy in this process."""
+    server, address = await start_server(slots=100)
+    async with faultproxy.proxy.FaultProxy(target=address, generator=random.Random(3)) as proxy:
+        yield server, proxy
+
+
+@pytest.fixture
+def made(pool):
+    """A caller."""
+    return caller.caller.Caller(pool=pool)
+
+
+async def test_without_faults_bytes_pass_both_ways(proxied, made):
+    """Fails if the proxy itself damages or loses bytes."""
+    server, proxy = proxied
+    call = Call(method="POST", body_bytes=1_500_000, answer_bytes=1_500_000)
+    assert (await made.call(call, proxy.address)).own is True
+    assert server.log.runs[0].body_bytes == 1_500_000
+
+
+async def test_delay_and_jitter(proxied, made):
+    """Fails if delays are missing or reorder bytes."""
+    _, proxy = proxied
+    proxy.set_faults(
+        Faults(
+            to_target=Direction(delay_s=0.1),
+            to_caller=Direction(delay_s=0.05, jitter_s=0.05),
+        )
+    )
+    begin = time.monotonic()
+    assert (await made.call(Call(answer_bytes=500_000), proxy.address)).own is True
+    assert 0.15 <= time.monotonic() - begin < 3
+
+
+async def test_bandwidth(proxied, made):
+    """Fails if a slow link is as fast as a fast one."""
+    _, proxy = proxied
+    proxy.set_faults(Faults(to_target=Direction(bytes_per_s=200_000)))
+    begin = time.monotonic()
+    record = await made.call(Call(method="POST", body_bytes=100_000), proxy.address)
+    assert record.own is True
+    assert 0.45 < time.monotonic() - begin < 5
+
+
+@pytest.mark.parametrize("fault", [Direction(reset_after=1000), Direction(truncate_after=1000)])
+async def test_reset_and_truncation_end_the_answer(proxied, made, fault):
+    """Fails if a caller could take a cut answer for a whole one."""
+    _, proxy = proxied
+    proxy.set_faults(Faults(to_caller=fault))
+    record = await made.call(Call(answer_bytes=50_000), proxy.address)
+    assert record.whole is False
+    assert record.answer_bytes < 1000
+    assert record.error
+    assert proxy.cuts == 1
+
+
+async def test_truncation_towards_the_target_cancels_the_run(proxied, made):
+    """Fails if the target does not see the end of a cut upload."""
+    server, proxy = proxied
+    proxy.set_faults(Faults(to_target=Direction(truncate_after=10_000)))
+    record = await made.call(Call(method="POST", body_bytes=100_000), proxy.address)
+    assert record.whole is False
+    await asyncio.sleep(0.05)
+    assert [run.cancelled for run in server.log.runs] == [True]
+
+
+async def test_blackhole_towards_the_caller_lets_the_request_run(proxied, made):
+    """Fails if a one-way blackhole also stops the other direction, or loses bytes silently."""
+    server, proxy = proxied
+    proxy.set_faults(Faults(to_caller=Direction(blackhole=True)))
+    calling = asyncio.create_task(made.call(Call(timeout_ms=5000), proxy.address))
+    await asyncio.sleep(0.3)
+    assert not calling.done()
+    assert [run.answer_whole for run in server.log.runs] == [True]
+    proxy.set_faults(Faults())
+    record = await calling
+    assert record.whole is False
+    assert record.error != "timeout", "a stream with a hole must be reset when it heals"
+
+
+async def test_blackhole_towards_the_target_keeps_the_request_from_running(proxied, made):
+    """Fails if a request reaches the target through a blackhole."""
+    server, proxy = proxied
+    proxy.set_faults(Faults(to_target=Direction(blackhole=True)))
+    record = await made.call(Call(timeout_ms=100), proxy.address)
+    assert record.error == "timeout"
+    assert server.log.runs == ()
+
+
+async def test_pause_holds_bytes_and_delivers_them_later(proxied, made):
+    """Fails if a partition that heals loses bytes."""
+    server, proxy = proxied
+    proxy.set_faults(Faults(to_target=Direction(pause=True)))
+    calling = asyncio.create_task(made.call(Call(), proxy.address))
+    await asyncio.sleep(0.2)
+    assert server.log.runs == ()
+    proxy.set_faults(Faults())
+    assert (await calling).own is True
+
+
+async def test_duplicate_sends_the_same_bytes_on_a_second_connection(proxied, made):
+    """Fails if a replayed byte stream cannot be produced."""
+    server, proxy = proxied
+    proxy.set_faults(Faults(duplicate=True, duplicate_delay_s=0.1))
+    record = await made.call(Call(method="POST", body_bytes=1000), proxy.address)
+    assert record.own is True
+    assert len(server.log.runs) == 1
+    await asyncio.sleep(0.3)
+    assert [run.call_id for run in server.log.runs] == [record.call_id] * 2
+    assert [run.body_bytes for run in server.log.runs] == [1000, 1000]
+
+
+async def test_refuse_closes_new_connections(proxied, made):
+    """Fails if a refused connection reaches the target."""
+    server, proxy = proxied
+    proxy.set_faults(Faults(refuse=True))
+    record = await made.call(Call(), proxy.address)
+    assert record.status is None
+    assert server.connections == set()
+
+
+async def test_proxy_as_a_process(start_server, start_process, made):
+    """Fails if a proxy in another process cannot be steered."""
+    _, address = await start_server()
+    process = await start_process("faultproxy", "--target", address)
+    admin = re.search(r"^admin (\d+)$", process.text(), re.MULTILINE)
+    assert admin
+    client = faultproxy.client.FaultProxyClient(url=f"http://127.0.0.1:{admin.group(1)}")
+    target = f"127.0.0.1:{process.port}"
+    assert (await made.call(Call(), target)).own is True
+    await client.set_faults(Faults(to_caller=Direction(delay_s=0.3)))
+    begin = time.monotonic()
+    assert (await made.call(Call(), target)).own is True
+    assert time.monotonic() - begin >= 0.3
+    await client.set_faults(Faults(to_caller=Direction(truncate_after=20), refuse=True))
+    assert (await made.call(Call(), target)).error
+
+
+def test_unknown_fields_of_faults_are_rejected():
+    """Fails if a misspelt fault leaves a test without its fault."""
+    with pytest.raises(errors.TestkitError, match="unknown field 'delay'"):
+        Faults.parse({"to_target": {"delay": 1}})
+    with pytest.raises(errors.TestkitError, match="unknown field 'dupe'"):
+        Faults.parse({"dupe": True})
+    faults = Faults(to_caller=Direction(delay_s=1.0), duplicate=True)
+    assert Faults.parse(faults.encode()) == faults
