--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/messages.py
@@ -0,0 +1,139 @@
+"""Control messages between nodes, as MessagePack arrays.
+
+Every field has a bound, so a hostile message costs at most its size limit and
+is refused with `errors.MessageError`.
+"""
+
+import typing
+from typing import Annotated, Final, TypeVar
+
+import msgspec
+
+from laburnumford_fleet import errors
+
+# Snapshot parts and single deltas are under 1 MB as on the platform, plus the frame around them.
+MAX_MESSAGE_BYTES: Final = 1_200_000
+# Everything but the answer to a fetch fits into one packet train of a few KB.
+MAX_SMALL_BYTES: Final = 8_192
+MAX_REPORTS: Final = 32
+MAX_SAMPLES: Final = 32
+MAX_DELTAS: Final = 256
+# Deltas of one answer together, so that an answer stays below MAX_MESSAGE_BYTES.
+MAX_DELTA_BYTES: Final = 1_048_576
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Counter = Annotated[int, msgspec.Meta(ge=0)]
+Digest = Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
+Age = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
+
+# Ten years, far above the uptime of a VM.
+Uptime = Annotated[int, msgspec.Meta(ge=0, le=315_360_000_000)]
+
+Message = TypeVar("Message", bound=msgspec.Struct)
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """What a node knows about the node of one server.
+
+    `state` is a value of `report_state.ReportState`, `age_ms` the age of the
+    observation and `uptime_ms` the time since the incarnation started.
+    """
+
+    server: Name
+    incarnation: Counter
+    state: Annotated[int, msgspec.Meta(ge=0, le=3)]
+    uptime_ms: Uptime
+    age_ms: Age
+
+
+class Sample(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Version in force at one node of the sample that all nodes share."""
+
+    rank: Counter
+    version: Counter
+    age_ms: Age
+
+
+class Announce(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Tells a neighbour the version in force at the sender, with urgent reports."""
+
+    node: Name
+    incarnation: Counter
+    uptime_ms: Uptime
+    version: Counter
+    digest: Digest
+    leaving: bool
+    reports: Annotated[tuple[Report, ...], msgspec.Meta(max_length=MAX_REPORTS)] = ()
+
+
+class Acknowledge(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Answer to `Announce`."""
+
+    incarnation: Counter
+    version: Counter
+
+
+class Exchange(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Anti-entropy message and its answer."""
+
+    node: Name
+    incarnation: Counter
+    uptime_ms: Uptime
+    version: Counter
+    digest: Digest
+    leaving: bool
+    samples: Annotated[tuple[Sample, ...], msgspec.Meta(max_length=MAX_SAMPLES)] = ()
+    reports: Annotated[tuple[Report, ...], msgspec.Meta(max_length=MAX_REPORTS)] = ()
+
+
+class Fetch(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Asks for the changes after a version, or for a part of a snapshot.
+
+    With `snapshot` false the answer holds deltas, or the first part of a snapshot
+    when the answering node no longer holds the deltas.
+    """
+
+    since: Counter
+    digest: Digest
+    snapshot: bool = False
+    part: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
+
+
+class Changes(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Answer to `Fetch`: deltas after a version, or one part of a snapshot.
+
+    `parts` is 0 for deltas. `version` and `digest` describe the state after the
+    deltas of this answer, or the state in the snapshot.
+    """
+
+    version: Counter
+    digest: Digest
+    deltas: Annotated[tuple[bytes, ...], msgspec.Meta(max_length=MAX_DELTAS)] = ()
+    parts: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
+    part: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
+    data: Annotated[bytes, msgspec.Meta(max_length=1_048_576)] = b""
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Returns the bytes of a message."""
+    return msgspec.msgpack.encode(message)
+
+
+_DECODERS: Final[dict[type[msgspec.Struct], msgspec.msgpack.Decoder[msgspec.Struct]]] = {
+    kind: msgspec.msgpack.Decoder(kind)
+    for kind in (Report, Sample, Announce, Acknowledge, Exchange, Fetch, Changes)
+}
+
+
+def decode(kind: type[Message], data: bytes, *, max_bytes: int = MAX_SMALL_BYTES) -> Message:
+    """Decodes a message of the given type.
+
+    Raises:
+        MessageError: the bytes are too many or are no such message.
+    """
+    if len(data) > max_bytes:
+        raise errors.MessageError(f"{kind.__name__}: found {len(data)} bytes, allowed {max_bytes}")
+    try:
+        return typing.cast(Message, _DECODERS[kind].decode(data))
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise errors.MessageError(f"{kind.__name__}: {error}") from error
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/meter.py
@@ -0,0 +1,59 @@
+"""Count of control traffic."""
+
+import collections
+
+# HEADERS, DATA and trailers frames with indexed fields, acknowledgements and the IP and TCP
+# headers of one unary call, for each direction. The bench compares it with the loopback counters.
+CALL_OVERHEAD_BYTES = 260
+# SYN, SETTINGS, first header block without indexed fields and FIN of one connection.
+CONNECT_OVERHEAD_BYTES = 700
+_WINDOW_S = 60.0
+
+
+class Meter:
+    """Counts control bytes and messages sent and received by this node."""
+
+    def __init__(self) -> None:
+        self.payload_sent = 0
+        self.payload_received = 0
+        self.messages_sent = 0
+        self.messages_received = 0
+        self.connects = 0
+        self._marks: collections.deque[tuple[float, int, int]] = collections.deque()
+
+    def sent(self, size: int) -> None:
+        """Counts one message sent, with its payload in bytes."""
+        self.payload_sent += size
+        self.messages_sent += 1
+
+    def received(self, size: int) -> None:
+        """Counts one message received, with its payload in bytes."""
+        self.payload_received += size
+        self.messages_received += 1
+
+    def connected(self) -> None:
+        """Counts one attempt to connect."""
+        self.connects += 1
+
+    @property
+    def estimated_bytes(self) -> int:
+        """Payload and estimated protocol overhead, both directions together."""
+        messages = self.messages_sent + self.messages_received
+        payload = self.payload_sent + self.payload_received
+        # A message is half of a call; a call costs its overhead in each direction.
+        return payload + messages * CALL_OVERHEAD_BYTES + self.connects * CONNECT_OVERHEAD_BYTES
+
+    def mark(self, *, now: float) -> None:
+        """Adds a point to the window of the rates; called every few seconds."""
+        messages = self.messages_sent + self.messages_received
+        self._marks.append((now, self.estimated_bytes, messages))
+        while now - self._marks[0][0] > _WINDOW_S:
+            self._marks.popleft()
+
+    def rates(self, *, now: float) -> tuple[float, float]:
+        """Returns estimated bytes and messages per second over the last minute."""
+        if not self._marks or now - self._marks[0][0] <= 0.0:
+            return 0.0, 0.0
+        at, size, messages = self._marks[0]
+        total = self.messages_sent + self.messages_received
+        return (self.estimated_bytes - size) / (now - at), (total - messages) / (now - at)
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/read_limit.py
@@ -0,0 +1,94 @@
+"""Hard limit on this node's reads of the platform."""
+
+import random
+
+from laburnumford_objects import errors as object_errors
+
+# Half of the 2,000 reads/s of the platform is shared by all nodes, the other half by readers.
+_FLEET_READS_PER_S = 1000.0
+# Two sets of readers overlap at the change of an epoch, so each gets half of the readers' share.
+_READERS_READS_PER_S = 500.0
+# A starting node does not know the size of the fleet: it may read the list of VMs, the head and
+# two values before the list tells the size.
+_START_TOKENS = 4.0
+_UNKNOWN_NODES = 10_000
+
+
+class ReadLimit:
+    """Token bucket that bounds reads per second.
+
+    The rate is 1,000 reads/s divided by the number of nodes. A reader adds its
+    part of the share that is set aside for readers. The bucket holds one
+    second of its rate. Below one read per second a read after an idle time
+    waits a random part of the interval: full buckets at 10,000 nodes would
+    otherwise give 10,000 reads in the second in which all fall back.
+
+    Args:
+        generator: source of the random waits.
+        now: monotonic time in seconds.
+    """
+
+    def __init__(self, *, generator: random.Random, now: float) -> None:
+        self._generator = generator
+        self._rate = _FLEET_READS_PER_S / _UNKNOWN_NODES
+        self._tokens = _START_TOKENS
+        self._at = now
+        self._sized = False
+        self.admitted = 0
+
+    @property
+    def rate_per_s(self) -> float:
+        """Reads per second that this node may make."""
+        return self._rate
+
+    def resize(self, *, nodes: int, readers: int, reader: bool, now: float) -> None:
+        """Sets the rate from the size of the fleet.
+
+        Args:
+            nodes: number of nodes of the fleet.
+            readers: number of readers among them.
+            reader: whether this node is one of them.
+            now: monotonic time in seconds.
+
+        Raises:
+            ParameterError: a count is below one.
+        """
+        if nodes < 1 or readers < 1:
+            raise object_errors.ParameterError(
+                f"nodes and readers must be at least 1, found {nodes} and {readers}"
+            )
+        self._refill(now)
+        self._rate = _FLEET_READS_PER_S / nodes
+        if reader:
+            self._rate += _READERS_READS_PER_S / readers
+        capacity = max(1.0, self._rate)
+        self._tokens = min(self._tokens, capacity) if self._sized else capacity
+        self._sized = True
+
+    def reserve(self, *, now: float, max_wait_s: float) -> float | None:
+        """Reserves one read.
+
+        Returns:
+            Seconds to wait before the read, or None when the limit does not
+            admit it within `max_wait_s`; nothing is reserved then.
+        """
+        self._refill(now)
+        wait_s = max(0.0, (1.0 - self._tokens) / self._rate)
+        idle = self._sized and self._rate < 1.0 and self._tokens >= 1.0
+        if idle:
+            wait_s = self._generator.uniform(0.0, 1.0 / self._rate)
+        if wait_s > max_wait_s:
+            return None
+        if idle:
+            # The next read is one interval after this one, not after now.
+            self._tokens = -wait_s * self._rate
+        else:
+            self._tokens -= 1.0
+        self.admitted += 1
+        return wait_s
+
+    def _refill(self, now: float) -> None:
+        if now > self._at:
+            capacity = max(1.0, self._rate) if self._sized else _START_TOKENS
+            self._tokens = min(capacity, self._tokens + (now - self._at) * self._rate)
+            self._at = now
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/standing.py
@@ -0,0 +1,12 @@
+"""Standing of a server in the membership view."""
+
+import enum
+
+
+class Standing(enum.Enum):
+    """Whether a server takes new work, as far as this node knows."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    ABSENT = "absent"
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_messages.py
@@ -0,0 +1,68 @@
+"""Tests of the control messages."""
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from laburnumford_fleet import errors, messages
+
+_KINDS = [messages.Announce, messages.Exchange, messages.Fetch, messages.Changes]
+_EXCHANGE = messages.Exchange(
+    "server-1",
+    2**64 - 1,
+    1000,
+    7,
+    bytes(32),
+    False,
+    (messages.Sample(2**64 - 1, 7, 5),),
+    (messages.Report("server-2", 3, 1, 9, 9),),
+)
+
+
+def test_round_trip():
+    """Guards against a field that is lost on the way, with the largest incarnation."""
+    assert messages.decode(messages.Exchange, messages.encode(_EXCHANGE)) == _EXCHANGE
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        ["", 1, 1, 1, bytes(32), False],
+        ["x" * 129, 1, 1, 1, bytes(32), False],
+        ["x", -1, 1, 1, bytes(32), False],
+        ["x", 1, 1, 1, bytes(31), False],
+        ["x", 1, 1, "1", bytes(32), False],
+        ["x", 1, 1, 1, bytes(32), False, [[1, 1, 1]] * 33],
+        ["x", 1, 1, 1, bytes(32), False, [], [["y", 1, 4, 0, 0]]],
+        ["x", 1, 1, 1, bytes(32), False, [], [], 5],
+        ["x", 1],
+        {"node": "x"},
+    ],
+)
+def test_out_of_range_is_refused(fields):
+    """Guards against hostile values that reach the membership view or the store."""
+    with pytest.raises(errors.MessageError, match="Exchange"):
+        messages.decode(messages.Exchange, msgspec.msgpack.encode(fields))
+
+
+def test_oversized_is_refused():
+    """Guards against a message that costs memory before it is refused."""
+    with pytest.raises(errors.MessageError, match="allowed 8192"):
+        messages.decode(messages.Exchange, bytes(8193))
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(
+    kind=strategies.sampled_from(_KINDS),
+    noise=strategies.binary(max_size=80),
+    at=strategies.integers(0, 80),
+)
+def test_hostile_bytes_give_the_error_of_this_layer(kind, noise, at):
+    """Guards against bytes that end a task with an error of another layer."""
+    valid = messages.encode(_EXCHANGE)
+    for data in (noise, valid[:at] + noise + valid[at:], b"\x91" * 5000 + noise):
+        try:
+            messages.decode(kind, data)
+        except errors.MessageError:
+            continue
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/vm_list.py
@@ -0,0 +1,13 @@
+"""The platform's list of VMs."""
+
+import dataclasses
+
+from laburnumford_fleet import vm
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmList:
+    """VMs on the platform's list and the size of the list in bytes."""
+
+    vms: tuple[vm.Vm, ...]
+    size: int
