--- a/packages/node/src/laburnumford_node/service_state.py
+++ b/packages/node/src/laburnumford_node/service_state.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from laburnumford_node import view
-from laburnumford_objects import backend_server, policy, zone
+from laburnumford_objects import backend_server, policy, resolution, zone
 from laburnumford_policy import choice
 from laburnumford_policy.retry import retry_budget as budgets
 from laburnumford_policy.retry import retry_policy as policies
@@ -108,7 +108,8 @@
 
     def _policy(self, service: str) -> policy.Policy:
         objects = self._current().objects
-        return objects.policy_of_service(objects.services_by_name[service])
+        name = objects.services_by_name[service].policy
+        return resolution.resolve(objects.policies_by_name, name)
 
     def _apply_to(self, service: str, state: ServiceState) -> None:
         current = self._current()
--- a/packages/node/src/laburnumford_node/view.py
+++ b/packages/node/src/laburnumford_node/view.py
@@ -41,7 +41,7 @@
     return View(
         version=version,
         objects=objects,
-        routes=routing.RouteTable(objects),
+        routes=routing.RouteTable(object_set=objects),
         servers_by_name=servers_by_name,
         server_names_by_service=names_by_service,
     )
