--- /dev/null
+++ b/packages/objects/src/laburnumford_objects/_rules_values.py
@@ -0,0 +1,61 @@
+"""Rules on values of fields and on the size of published values."""
+
+from collections.abc import Sequence
+
+import pydantic
+
+from laburnumford_objects import (
+    _findings,
+    _packing,
+    _validation,
+    backend_server,
+    delta,
+    object_set,
+    source,
+)
+
+
+def check(findings: _findings.Findings) -> None:
+    """Finds fields out of range, and a set that does not fit into a published value."""
+    for kind, section in _findings.SECTION_BY_KIND.items():
+        for name, entry in getattr(findings.objects, section).items():
+            _check_fields(findings, (kind, name), entry)
+    if not findings.problems:
+        _check_size(findings)
+
+
+def _check_fields(
+    findings: _findings.Findings, key: source.Key, entry: pydantic.BaseModel
+) -> None:
+    # Objects made by code, with model_copy or model_construct, have not been validated.
+    model = type(entry)
+    try:
+        model.model_validate(entry.model_dump(exclude_unset=True, warnings=False))
+    except pydantic.ValidationError as error:
+
+        def line_of(path: Sequence[str | int]) -> int:
+            return findings.line_of(key, path)
+
+        def name_object(path: Sequence[str | int]) -> tuple[str, int]:
+            if key[0] == "group" and len(path) > 1 and isinstance(path[1], int):
+                server: backend_server.BackendServer = entry.backend_servers[path[1]]  # type: ignore[attr-defined]
+                return findings.text(("backend server", key[1], server.name)), 2
+            return findings.text(key), 0
+
+        findings.problems += _validation.problems_of(
+            model, error, findings.file, line_of, name_object
+        )
+
+
+def _check_size(findings: _findings.Findings) -> None:
+    objects = findings.objects
+    empty = object_set.ObjectSet(workspace=objects.workspace)
+    size = len(_packing.pack(delta.diff(empty, objects).encode()))
+    if size > _packing.MAX_VALUE_BYTES:
+        findings.add(
+            ("workspace", objects.workspace),
+            [],
+            found=f"{size} bytes in one published value",
+            allowed=f"at most {_packing.MAX_VALUE_BYTES} bytes",
+            rule="too-large",
+        )
--- a/packages/objects/src/laburnumford_objects/resolution.py
+++ b/packages/objects/src/laburnumford_objects/resolution.py
@@ -47,4 +47,5 @@
                 changed = {key: getattr(value, key) for key in value.model_fields_set}
                 value = fields[field].model_copy(update=changed)
             fields[field] = value
-    return policy.Policy(name=name, **fields)
+    # The fields were validated with the policies that set them.
+    return policy.Policy.model_construct({"name", *fields}, name=name, **fields)
--- /dev/null
+++ b/packages/objects/src/laburnumford_objects/tests/test_check.py
@@ -0,0 +1,195 @@
+"""Tests of checking a whole object set."""
+
+import copy
+import json
+import pathlib
+
+import pytest
+
+from laburnumford_objects import check, deployment
+
+
+def _server(number, **fields):
+    addresses = {
+        field: f"127.0.0.{number}:{port}"
+        for port, field in enumerate(
+            ("address", "edge_address", "peer_address", "control_address"), 8000
+        )
+    }
+    return {"name": f"b{number}", "zone": "z", "slots": 12, **addresses, **fields}
+
+
+_VALID = {
+    "workspace": "w",
+    "zones": [{"name": "z", "region": "r"}],
+    "policies": [{"name": "p"}, {"name": "q", "extends": "p", "hedge": False}],
+    "services": [{"name": "s", "group": "g", "policy": "q"}],
+    "routes": [{"name": "t", "service": "s", "path_prefix": "/t"}],
+    "groups": [{"name": "g", "backend_servers": [_server(1), _server(2)]}],
+}
+
+
+@pytest.fixture
+def checked(write):
+    """Returns a function that checks the valid deployment after a change of it."""
+
+    def check_changed(change):
+        value = copy.deepcopy(_VALID)
+        change(value)
+        return check.check_reading(deployment.read(write(json.dumps(value, indent=1))))
+
+    return check_changed
+
+
+def _line_of(file, text):
+    lines = pathlib.Path(file).read_text().splitlines()
+    return max(number for number, line in enumerate(lines, 1) if text in line)
+
+
+@pytest.mark.parametrize("name", ["nordvarde", "cyclone"])
+def test_examples_have_no_problem(examples, name):
+    """Guards against examples that an operator could not publish."""
+    assert check.check(deployment.load(str(examples / f"{name}.jsonc"))) == ()
+
+
+def _append(section, **fields):
+    return lambda value: value[section].append(fields)
+
+
+def _set(section, index, **fields):
+    return lambda value: value[section][index].update(fields)
+
+
+def _set_server(**fields):
+    return lambda value: value["groups"][0]["backend_servers"][1].update(fields)
+
+
+@pytest.mark.parametrize(
+    ("change", "rule", "subject", "field", "line_text"),
+    [
+        (_set("services", 0, group="x"), "unknown-reference", "service 's'", "group", '"x"'),
+        (_set("services", 0, policy="x"), "unknown-reference", "service 's'", "policy", '"x"'),
+        (_set("routes", 0, service="x"), "unknown-reference", "route 't'", "service", '"x"'),
+        (_set("routes", 0, policy="x"), "unknown-reference", "route 't'", "policy", '"x"'),
+        (_set("policies", 0, extends="x"), "unknown-reference", "policy 'p'", "extends", '"x"'),
+        (
+            _set("zones", 0, one_way_ms_by_zone={"x": 1}),
+            "unknown-reference",
+            "zone 'z'",
+            "one_way_ms_by_zone.x",
+            '"x"',
+        ),
+        (
+            _set_server(zone="x"),
+            "unknown-reference",
+            "backend server 'b2' of group 'g'",
+            "zone",
+            '"x"',
+        ),
+        (_set("policies", 0, extends="q"), "cycle", "policy 'p'", "extends", '"extends": "q"'),
+        (
+            _append("zones", name="z", region="y"),
+            "duplicate-name",
+            "zone 'z'",
+            "name",
+            '"name": "z"',
+        ),
+        (
+            _set_server(name="b1"),
+            "duplicate-name",
+            "backend server 'b1' of group 'g'",
+            "name",
+            '"b1"',
+        ),
+        (
+            _set_server(peer_address="127.0.0.1:8000"),
+            "duplicate-address",
+            "backend server 'b2' of group 'g'",
+            "peer_address",
+            "127.0.0.1:8000",
+        ),
+        (_set("policies", 0, queue_limit=-1), "out-of-range", "policy 'p'", "queue_limit", "-1"),
+        (
+            _set("policies", 1, hedge=True, idempotent=False),
+            "out-of-range",
+            "policy 'q'",
+            "hedge",
+            '"hedge"',
+        ),
+        (
+            _append("services", name="u", group="g", policy="p"),
+            "unreachable",
+            "service 'u'",
+            "",
+            '"u"',
+        ),
+        (
+            _append("groups", name="u", backend_servers=[_server(3)]),
+            "unreachable",
+            "group 'u'",
+            "",
+            '"u"',
+        ),
+        (_append("policies", name="u", extends="p"), "unreachable", "policy 'u'", "", '"u"'),
+        (
+            _append("routes", name="u", service="s", path_prefix="/t"),
+            "shadowed-route",
+            "route 'u'",
+            "path_prefix",
+            '"path_prefix"',
+        ),
+    ],
+)
+def test_problem_is_located(checked, change, rule, subject, field, line_text):
+    """Guards against a fault that check passes over, or reports in another place."""
+    problems = [entry for entry in checked(change) if entry.rule == rule]
+    assert (problems[0].object, problems[0].field) == (subject, field)
+    line = _line_of(problems[0].file, line_text)
+    assert problems[0].line == (line if field else line - 1)  # an object starts before its name
+    assert len(problems) == (2 if rule == "cycle" else 1)
+
+
+def test_routes_with_other_hosts_or_methods_do_not_shadow(checked):
+    """Guards against a rule that forbids a special route next to a general one."""
+    place = {"service": "s", "path_prefix": "/t"}
+    assert checked(_append("routes", name="u", methods=["GET", "HEAD"], **place)) == ()
+    assert checked(_append("routes", name="u", host="lab.example", **place)) == ()
+    methods = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE"]
+    (problem,) = checked(_append("routes", name="u", methods=methods, **place))
+    assert (problem.object, problem.rule) == ("route 't'", "shadowed-route")
+
+
+def test_broken_objects_hide_no_other_problem(checked):
+    """Guards against a check that needs several runs, or blames what refers to a broken object."""
+
+    def change(value):
+        value["groups"][0]["backend_servers"][0]["slots"] = 0
+        value["policies"][0]["timeout_ms"] = "1"
+        value["routes"][0]["service"] = "x"
+
+    found = {(entry.object, entry.field) for entry in checked(change)}
+    assert found == {
+        ("backend server 'b1' of group 'g'", "slots"),
+        ("policy 'p'", "timeout_ms"),
+        ("route 't'", "service"),
+    }
+
+
+def test_objects_made_by_code_are_checked(nordvarde):
+    """Guards against values that were never validated, and keys that differ from the name."""
+    lookup = nordvarde.policies_by_name["lookup"]
+    policies = {**nordvarde.policies_by_name, "lookup": lookup.model_copy(update={"grace_s": -1})}
+    zones = dict(nordvarde.zones_by_name)
+    zones["oslo-a"] = zones["oslo-a"].model_copy(update={"name": "oslo-x"})
+    changed = nordvarde.model_copy(update={"policies_by_name": policies, "zones_by_name": zones})
+    found = {(entry.object, entry.field, entry.rule) for entry in check.check(changed)}
+    assert ("policy 'lookup'", "grace_s", "out-of-range") in found
+    assert ("zone 'oslo-a'", "name", "name") in found
+
+
+def test_value_over_the_limit_is_a_problem(nordvarde, monkeypatch):
+    """Guards against a version that the platform refuses to store."""
+    monkeypatch.setattr("laburnumford_objects._packing.MAX_VALUE_BYTES", 500)
+    (problem,) = check.check(nordvarde)
+    assert (problem.rule, problem.object) == ("too-large", "workspace 'nordvarde'")
+    assert problem.allowed == "at most 500 bytes"
