--- /dev/null
+++ b/packages/client/src/laburnumford_client/check.py
@@ -0,0 +1,23 @@
+"""The command that checks a deployment."""
+
+import click
+
+from laburnumford_objects import check as checks
+from laburnumford_objects import deployment, errors
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Reports all problems of the deployment FILE."""
+    reading = deployment.read(file)
+    problems = checks.check_reading(reading)
+    if problems or reading.object_set is None:
+        raise errors.DeploymentError(problems)
+    objects = reading.object_set
+    servers = sum(len(group.backend_servers) for group in objects.groups_by_name.values())
+    click.echo(
+        f"{file}: no problems; workspace {objects.workspace!r},"
+        f" {len(objects.services_by_name)} services, {servers} backend servers,"
+        f" {len(objects.routes_by_name)} routes, {len(objects.policies_by_name)} policies"
+    )
