--- a/packages/objects/src/laburnumford_objects/routing.py
+++ b/packages/objects/src/laburnumford_objects/routing.py
@@ -2,6 +2,8 @@
 
 from laburnumford_objects import object_set, route
 
+_Table = dict[str, dict[str | None, route.Route]]
+
 
 class RouteTable:
     """Finds the route of a request by its method, host and path.
@@ -18,17 +20,15 @@
     """
 
     def __init__(self, *, object_set: object_set.ObjectSet) -> None:
-        self._routes_by_place: dict[tuple[str | None, str], dict[str | None, route.Route]] = {}
-        self._with_hosts = False
-        self._longest = 0
+        self._tables_by_host: dict[str | None, _Table] = {None: {}}
+        self._depth = 0
         # In the order of names, so that the first of two equal routes wins on every node.
         for _, entry in sorted(object_set.routes_by_name.items()):
-            place = (entry.host, entry.path_prefix)
-            routes_by_method = self._routes_by_place.setdefault(place, {})
+            table = self._tables_by_host.setdefault(entry.host, {})
+            routes_by_method = table.setdefault(entry.path_prefix, {})
             for method in entry.methods or (None,):
                 routes_by_method.setdefault(method, entry)
-            self._with_hosts |= entry.host is not None
-            self._longest = max(self._longest, len(entry.path_prefix))
+            self._depth = max(self._depth, entry.path_prefix.count("/"))
 
     def match(self, method: str, host: str, path: str) -> route.Route | None:
         """Returns the route of a request, None if there is none.
@@ -40,23 +40,26 @@
         """
         if not path.startswith("/"):
             return None
-        hosts = (_without_port(host), None) if self._with_hosts else (None,)
-        # One character more than the longest prefix shows whether its segment ends there.
-        prefix = path[: self._longest + 1].partition("?")[0]
-        if len(prefix) > self._longest and not prefix.endswith("/"):
-            prefix = prefix[: prefix.rfind("/")] or "/"
-        if len(prefix) > 1 and prefix.endswith("/"):
+        tables = [self._tables_by_host[None]]
+        if len(self._tables_by_host) > 1:
+            table = self._tables_by_host.get(_without_port(host))
+            if table is not None:
+                tables.insert(0, table)
+        # No prefix has more segments than `_depth`, so a longer path is cut to them.
+        segments = path.partition("?")[0].split("/", self._depth + 1)
+        prefix = "/".join(segments[: self._depth + 1])
+        if prefix.endswith("/"):
             prefix = prefix[:-1]
         while True:
-            for name in hosts:
-                routes_by_method = self._routes_by_place.get((name, prefix))
+            for table in tables:
+                routes_by_method = table.get(prefix or "/")
                 if routes_by_method is not None:
                     found = routes_by_method.get(method) or routes_by_method.get(None)
                     if found is not None:
                         return found
-            if len(prefix) <= 1:
+            if not prefix:
                 return None
-            prefix = prefix[: prefix.rfind("/")] or "/"
+            prefix = prefix[: prefix.rfind("/")]
 
 
 def _without_port(host: str) -> str:
