Add Fleet: version store, platform reader and propagation between nodes

Cause: a node needs the version in force, and the rest of the fleet must learn of a change without a read of the platform by every node.

--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the package: ``python -m laburnumford_fleet.bench``."""
--- a/packages/fleet/src/laburnumford_fleet/errors.py
+++ b/packages/fleet/src/laburnumford_fleet/errors.py
@@ -47,7 +47,3 @@
         super().__init__(f"{object_name}: {reason}")
         self.object_name = object_name
         self.reason = reason
-
-
-class DeltaGapError(VersionError):
-    """A delta between the version in force and the target is missing."""
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -0,0 +1,373 @@
+"""Facade of the package."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from laburnumford_fleet import (
+    directory,
+    local_state,
+    membership,
+    meter,
+    overlay,
+    platform,
+    platform_mode,
+    platform_reader,
+    read_limit,
+    readers,
+    spread,
+    standing,
+    version_store,
+)
+from laburnumford_objects import node_settings, object_set
+
+_log = logging.getLogger(__name__)
+
+_START_WAIT_S = 3.0
+_TICK_S = 1.0
+# A tick that is this late shows that the process was paused.
+_PAUSE_S = 2.0
+# All neighbours silent for this long: the node reads the platform itself.
+_FALLBACK_AFTER_S = 5.0
+_METER_INTERVAL_S = 5.0
+# Names listed in the status; the counts are complete.
+_MAX_LISTED = 50
+
+
+class Fleet:
+    """Keeps the version in force and the membership view of one node.
+
+    Args:
+        settings: settings of the node.
+        generator: random generator of the process.
+        on_apply: called with the object set and its version after each swap.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: node_settings.NodeSettings,
+        generator: random.Random,
+        on_apply: Callable[[object_set.ObjectSet, int], None] | None = None,
+    ) -> None:
+        self._settings = settings
+        self._generator = generator
+        self._on_apply = on_apply
+        self._node = settings.backend_server
+        self._meter = meter.Meter()
+        self._store = version_store.VersionStore(workspace=settings.workspace)
+        self._view = membership.Membership()
+        self._directory = directory.Directory()
+        self._limit = read_limit.ReadLimit(generator=generator, now=time.monotonic())
+        self._platform = platform.Platform(url=settings.platform_url, limit=self._limit)
+        self._spread = spread.Spread(
+            address=settings.control_address,
+            store=self._store,
+            generator=generator,
+            on_pulled=self._after_apply,
+        )
+        self._local = local_state.LocalState(
+            node=self._node,
+            incarnation=generator.getrandbits(64) or 1,
+            store=self._store,
+            view=self._view,
+            counter=self._meter,
+            on_ahead=self._spread.observe_ahead,
+            on_contact=self._on_contact,
+        )
+        self._reader = platform_reader.PlatformReader(
+            client=self._platform,
+            workspace=settings.workspace,
+            store=self._store,
+            view=self._view,
+            mode=self._mode,
+            generator=generator,
+            on_read=self._on_platform_read,
+            on_applied=self._after_apply,
+            on_list=self._on_list,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._confirmed = False
+        self._listed_nodes = 0
+        self._reader_key: tuple[int, int] | None = None
+        self._is_reader = False
+        self._set_number = 0
+        self._changed = asyncio.Event()
+
+    @property
+    def version(self) -> int:
+        """Number of the version in force, 0 before the first one."""
+        return self._store.version
+
+    @property
+    def object_set(self) -> object_set.ObjectSet:
+        """Objects of the version in force."""
+        return self._store.object_set
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether a peer has confirmed that it knows no higher version."""
+        return self._confirmed
+
+    @property
+    def incarnation(self) -> int:
+        """Random number that identifies this run of the node."""
+        return self._local.incarnation
+
+    async def start(self) -> None:
+        """Listens for peers and waits at most 3 s for a first version.
+
+        Raises:
+            PeerError: the control address cannot be bound.
+        """
+        until = time.monotonic() + _START_WAIT_S
+        await self._spread.start(self._local)
+        self._set_neighbours()
+        self._tasks = [
+            asyncio.create_task(self._reader.run(), name="fleet platform"),
+            asyncio.create_task(self._reader.run_list(), name="fleet list"),
+            asyncio.create_task(self._tick_loop(), name="fleet tick"),
+        ]
+        # Peers and platform are asked at the same time; versions only rise, so the highest wins.
+        while time.monotonic() < until and not self._settled():
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(min(0.05, max(0.0, until - time.monotonic()))):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+        if not self.version:
+            _log.warning("fleet: no version after %.0f s", _START_WAIT_S)
+        elif not self._confirmed:
+            _log.warning("fleet: version %d is unconfirmed, no peer answered", self.version)
+
+    async def close(self) -> None:
+        """Ends all tasks and closes all connections."""
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        await self._spread.close()
+        await self._platform.close()
+
+    def observe_peer_version(self, node: str, version: int) -> None:
+        """Takes over the version that a call or an answer of another node carried."""
+        if version > self.version:
+            self._spread.observe_ahead(node, version)
+            # The node may be no neighbour; the neighbours are asked what they hold.
+            self._spread.wake(exchange=True)
+
+    def observe_call(
+        self, server_name: str, *, answered: bool, draining: bool, started_at: float
+    ) -> None:
+        """Takes over the result of one of this node's own calls to a server.
+
+        Args:
+            server_name: server that was called.
+            answered: whether it gave any answer, a refusal included.
+            draining: whether it refused the call as draining.
+            started_at: monotonic time in seconds when the call was sent.
+        """
+        self._view.observe_call(
+            server_name,
+            answered=answered,
+            draining=draining,
+            started_at=started_at,
+            now=time.monotonic(),
+        )
+
+    def live(self, server_name: str) -> bool:
+        """Returns whether a server takes new work, as far as this node knows."""
+        return self._view.live(server_name, now=time.monotonic())
+
+    def leave(self) -> None:
+        """Tells the neighbours at once that this node takes no new work."""
+        self._local.leaving = True
+        self._spread.wake(reports=True)
+
+    def status(self) -> dict[str, Any]:
+        """Returns the state of this node as a JSON-ready dictionary."""
+        now = time.monotonic()
+        bytes_per_s, messages_per_s = self._meter.rates(now=now)
+        leaving = self._view.names(standing.Standing.LEAVING, now=now)
+        silent = self._view.names(standing.Standing.SILENT, now=now)
+        counts = self._local.sample.counts(nodes=self._nodes(), now=now)
+        return {
+            "node": self._node,
+            "incarnation": f"{self._local.incarnation:016x}",
+            "version": self.version,
+            "digest": self._store.digest.hex(),
+            "source": self._store.source,
+            "age_s": _age(self._store.applied_at, now),
+            "confirmed": self._confirmed,
+            "reader": self._reader_now(),
+            "nodes": self._nodes(),
+            "neighbours": [
+                {
+                    "node": found.name,
+                    "address": found.address,
+                    "connected": found.connected,
+                    "version": found.version,
+                    "age_s": _age(found.heard_at, now),
+                }
+                for found in self._spread.neighbours
+            ],
+            "rejected": [
+                {
+                    "version": entry.version,
+                    "node": entry.node,
+                    "object": entry.object_name,
+                    "reason": entry.reason,
+                    "age_s": _age(entry.at, now),
+                }
+                for entry in self._store.rejected
+            ],
+            "nodes_by_version": {str(number): counts[number] for number in sorted(counts)},
+            "leaving": list(leaving[:_MAX_LISTED]),
+            "leaving_count": len(leaving),
+            "silent": list(silent[:_MAX_LISTED]),
+            "silent_count": len(silent),
+            "control": {
+                "bytes_per_s": round(bytes_per_s, 1),
+                "messages_per_s": round(messages_per_s, 2),
+                "payload_bytes_sent": self._meter.payload_sent,
+                "payload_bytes_received": self._meter.payload_received,
+                "messages_sent": self._meter.messages_sent,
+                "messages_received": self._meter.messages_received,
+                "estimated_bytes": self._meter.estimated_bytes,
+                "connects": self._meter.connects,
+            },
+            "platform": {
+                "reads": self._limit.admitted,
+                "limit_per_s": round(self._limit.rate_per_s, 3),
+                "read_age_s": _age(self._reader.read_at, now),
+                "failed_age_s": _age(self._reader.failed_at, now),
+                "list_age_s": _age(self._reader.list_read_at, now),
+            },
+        }
+
+    def _settled(self) -> bool:
+        """Returns whether peers and platform were asked and nothing higher is known."""
+        peers_asked = all(
+            found.connected or found.attempts > 0 for found in self._spread.neighbours
+        )
+        platform_asked = self._reader.read_at is not None or self._reader.failed_at is not None
+        return self.version > 0 and peers_asked and platform_asked and not self._spread.behind
+
+    def _after_apply(self) -> None:
+        change = self._directory.apply(self._store.object_set)
+        self._view.apply_published(
+            {name: server.draining for name, server in change.servers_by_name.items()},
+            removed=change.removed,
+        )
+        if change.overlay:
+            self._set_number += 1
+            self._set_neighbours()
+        self._spread.wake()
+        self._confirm()
+        if self._on_apply is not None:
+            try:
+                self._on_apply(self._store.object_set, self._store.version)
+            except Exception:
+                # The version is in force; a fault of the caller must not end this task.
+                _log.exception("fleet: on_apply failed for version %d", self._store.version)
+        self._changed.set()
+
+    def _set_neighbours(self) -> None:
+        """Takes the neighbours from the overlay, or the seeds when this node is not in it."""
+        servers = self._directory.servers_by_name
+        names = overlay.neighbours(name=self._node, zones_by_name=self._directory.zones_by_name)
+        addresses = {servers[name].control_address: name for name in names}
+        if not addresses:
+            addresses = dict.fromkeys(self._settings.control_seeds, "")
+        addresses.pop(self._settings.control_address, None)
+        self._spread.resize(addresses)
+
+    def _on_contact(self, node: str) -> None:
+        if node != self._node:
+            self._confirm()
+            self._changed.set()
+
+    def _confirm(self) -> None:
+        """Confirms the version once a peer with a version knows no higher one."""
+        if self._confirmed or not self.version:
+            return
+        alone = len(self._directory.servers_by_name) <= 1 and not self._settings.control_seeds
+        answered = any(found.version > 0 for found in self._spread.neighbours)
+        self._confirmed = alone or (answered and not self._spread.behind)
+
+    def _on_platform_read(self) -> None:
+        self._confirm()
+        self._changed.set()
+
+    def _on_list(self, count: int) -> None:
+        self._listed_nodes = count
+        self._resize_limit()
+
+    def _nodes(self) -> int:
+        return len(self._directory.servers_by_name) or self._listed_nodes or 1
+
+    def _resize_limit(self) -> None:
+        nodes = len(self._directory.servers_by_name) or self._listed_nodes
+        if nodes:
+            zones = len(set(self._directory.zones_by_name.values())) or 1
+            self._limit.resize(
+                nodes=nodes,
+                readers=readers.count(nodes=nodes, zones=zones),
+                reader=self._reader_now(),
+                now=time.monotonic(),
+            )
+
+    def _reader_now(self) -> bool:
+        """Returns whether this node is a reader in the current epoch."""
+        key = (readers.epoch(wall_s=time.time()), self._set_number)
+        if key != self._reader_key:
+            zones_by_name = self._directory.zones_by_name
+            self._reader_key = key
+            self._is_reader = readers.is_reader(
+                name=self._node,
+                names=zones_by_name,
+                zones=len(set(zones_by_name.values())),
+                epoch_number=key[0],
+            )
+            self._resize_limit()
+        return self._is_reader
+
+    def _mode(self) -> platform_mode.PlatformMode:
+        if self._reader_now():
+            return platform_mode.PlatformMode.WATCH
+        if not self.version or not self._spread.neighbours:
+            return platform_mode.PlatformMode.POLL
+        now = time.monotonic()
+        silent = all(
+            found.silent_since is not None and now - found.silent_since >= _FALLBACK_AFTER_S
+            for found in self._spread.neighbours
+        )
+        return platform_mode.PlatformMode.POLL if silent else platform_mode.PlatformMode.OFF
+
+    async def _tick_loop(self) -> None:
+        last = time.monotonic()
+        marked_at = last
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now = time.monotonic()
+            if now - last > _TICK_S + _PAUSE_S:
+                _log.warning("fleet: process was paused for %.1f s", now - last - _TICK_S)
+                self._view.observe_pause(now=now)
+                self._spread.wake(exchange=True)
+            last = now
+            if now - marked_at >= _METER_INTERVAL_S:
+                marked_at = now
+                self._meter.mark(now=now)
+            if self._view.urgent:
+                self._spread.wake(reports=True)
+            elif self._view.waiting:
+                # One message a second bounds the traffic when a zone or a third of the fleet goes.
+                self._spread.wake_one()
+
+
+def _age(at: float | None, now: float) -> float | None:
+    return None if at is None else round(max(0.0, now - at), 3)
--- a/packages/fleet/src/laburnumford_fleet/membership.py
+++ b/packages/fleet/src/laburnumford_fleet/membership.py
@@ -18,6 +18,8 @@
 _LISTED_TTL_S = 600.0
 # A leaving node refuses new calls within 3 s; an answer after that contradicts the list.
 _LEAVING_GRACE_S = 3.0
+# A start this long ago is known to all nodes.
+_YOUNG_S = 60.0
 # Calls that expired during a pause fail right after it and say nothing about their servers.
 _WAKING_GRACE_S = 2.0
 # Each report is passed on once per neighbour; an overlay node has 6, and a few links more.
@@ -34,6 +36,7 @@
     draining: bool = False
     incarnation: int = 0
     born_at: float = _NEVER
+    changed_at: float = _NEVER
     contact_at: float = _NEVER
     silent_at: float = _NEVER
     reported_leaving: bool = False
@@ -103,9 +106,8 @@
             return
         at = now - report.age_ms / 1000.0
         state = report_state.ReportState(report.state)
-        if not self._observe_incarnation(
-            report.server, view, report.incarnation, now - report.uptime_ms / 1000.0
-        ):
+        born_at = now - report.uptime_ms / 1000.0
+        if not self._observe_incarnation(report.server, view, report.incarnation, born_at, now):
             return
         if state is report_state.ReportState.SILENT:
             if at > max(view.silent_at, view.contact_at) and now - at < _SILENT_TTL_S:
@@ -123,6 +125,7 @@
             view.contact_at = at
         if state is report_state.ReportState.LEAVING and not view.reported_leaving:
             view.reported_leaving = True
+            view.changed_at = now
             self._queue(report.server, state)
 
     def observe_silence(self, name: str, *, now: float) -> None:
@@ -214,6 +217,21 @@
         view = self._views.get(name)
         return 0 if view is None else view.incarnation
 
+    def requeue(self, *, since: float) -> None:
+        """Queues again what changed since a time, for a neighbour that was silent since then."""
+        for name, view in self._views.items():
+            if view.incarnation and view.changed_at >= since:
+                leaving = view.reported_leaving
+                self._queue(
+                    name,
+                    report_state.ReportState.LEAVING if leaving else report_state.ReportState.LIVE,
+                )
+
+    @property
+    def waiting(self) -> bool:
+        """Whether reports wait to be sent."""
+        return bool(self._queued)
+
     @property
     def urgent(self) -> bool:
         """Whether a report waits that peers need at once: a node that leaves."""
@@ -260,7 +278,7 @@
         )
 
     def _observe_incarnation(
-        self, name: str, view: _View, incarnation: int, born_at: float
+        self, name: str, view: _View, incarnation: int, born_at: float, now: float
     ) -> bool:
         """Returns whether the incarnation is the current one, after adopting a later one."""
         if incarnation == view.incarnation:
@@ -269,14 +287,16 @@
             return True
         if view.incarnation and born_at <= view.born_at:
             return False
-        restarted = view.incarnation != 0
+        # Every node is new to a node that starts; only those that started lately are news.
+        news = view.incarnation != 0 or now - born_at < _YOUNG_S
         view.incarnation = incarnation
         view.born_at = born_at
         view.reported_leaving = False
         view.own_draining = False
         view.own_failures = 0
         view.silent_at = _NEVER
-        if restarted:
+        view.changed_at = now
+        if news:
             self._queue(name, report_state.ReportState.LIVE)
         return True
 
--- a/packages/fleet/src/laburnumford_fleet/messages.py
+++ b/packages/fleet/src/laburnumford_fleet/messages.py
@@ -15,7 +15,8 @@
 MAX_MESSAGE_BYTES: Final = 1_200_000
 # Everything but the answer to a fetch fits into one packet train of a few KB.
 MAX_SMALL_BYTES: Final = 8_192
-MAX_REPORTS: Final = 32
+# One message a second with this many reports of 40 bytes stays below the control budget.
+MAX_REPORTS: Final = 16
 MAX_SAMPLES: Final = 32
 MAX_DELTAS: Final = 256
 # Deltas of one answer together, so that an answer stays below MAX_MESSAGE_BYTES.
@@ -96,6 +97,7 @@
     since: Counter
     digest: Digest
     snapshot: bool = False
+    snapshot_version: Counter = 0
     part: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
 
 
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/neighbour.py
@@ -0,0 +1,175 @@
+"""Task of one neighbour."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+
+from laburnumford_fleet import channel, errors, local_state, messages, platform
+
+_log = logging.getLogger(__name__)
+
+# A restarted neighbour is back within seconds; 6 lost neighbours at this cap cost about
+# 6 * 700 / 2.75 = 1.5 KB/s, half of the control budget.
+_BACKOFF_BASE_S = 0.3
+_BACKOFF_CAP_S = 5.0
+# Bounds the wait for work; the exchange task wakes each neighbour more often.
+_IDLE_WAIT_S = 120.0
+
+
+class Neighbour:
+    """Keeps one neighbour informed of the version in force and exchanges news with it.
+
+    Args:
+        address: control address, ``ip:port``.
+        name: server name, empty for a seed whose name is not known yet.
+        local: state of this node.
+        generator: source of the jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        name: str,
+        local: local_state.LocalState,
+        generator: random.Random,
+    ) -> None:
+        self.address = address
+        self.name = name
+        self.version = 0
+        self.heard_at: float | None = None
+        self.silent_since: float | None = None
+        self.attempts = 0
+        self._local = local
+        self._generator = generator
+        self._channel: channel.Channel | None = None
+        self._wake = asyncio.Event()
+        self._exchange_due = False
+        self._reports_due = False
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts the task."""
+        self._task = asyncio.create_task(self._run(), name=f"neighbour {self.address}")
+
+    async def close(self) -> None:
+        """Ends the task and closes the connection."""
+        await channel.close_quietly(self._task)
+
+    @property
+    def connected(self) -> bool:
+        """Whether the last exchange succeeded and the connection holds."""
+        return self._channel is not None
+
+    def wake(self, *, exchange: bool = False, reports: bool = False) -> None:
+        """Lets the task announce a new version, exchange, or pass on reports at once."""
+        self._exchange_due = self._exchange_due or exchange
+        self._reports_due = self._reports_due or reports
+        self._wake.set()
+
+    def heard(self, version: int) -> None:
+        """Takes over that the neighbour sent a message with its version in force."""
+        self.heard_at = time.monotonic()
+        self.version = max(self.version, version)
+        if self._channel is None:
+            # It is up, so the next attempt to connect need not wait.
+            self._wake.set()
+
+    async def fetch(self, request: messages.Fetch) -> messages.Changes:
+        """Fetches changes or a part of a snapshot.
+
+        Raises:
+            PeerError: the neighbour is not connected or did not answer.
+            MessageError: the answer is malformed.
+        """
+        if self._channel is None:
+            raise errors.PeerError(f"neighbour {self.address}: not connected")
+        data = await self._channel.call(
+            "Fetch", messages.encode(request), timeout_s=channel.FETCH_TIMEOUT_S
+        )
+        return messages.decode(messages.Changes, data, max_bytes=messages.MAX_MESSAGE_BYTES)
+
+    async def _run(self) -> None:
+        while True:
+            connection = channel.Channel(address=self.address, counter=self._local.counter)
+            broken: asyncio.Task[None] | None = None
+            try:
+                if self.silent_since is not None:
+                    # What the other side of a partition missed is sent to it again.
+                    self._local.view.requeue(since=self.silent_since)
+                await self._exchange(connection)
+                self.attempts = 0
+                self.silent_since = None
+                self._channel = connection
+                broken = asyncio.create_task(connection.wait_broken())
+                broken.add_done_callback(lambda _: self._wake.set())
+                await self._serve(connection, broken)
+            except (errors.PeerError, errors.MessageError) as error:
+                if self.attempts == 0:
+                    _log.info("fleet: %s", error)
+            finally:
+                self._channel = None
+                await channel.close_quietly(broken)
+                await connection.close()
+            self.attempts += 1
+            now = time.monotonic()
+            if self.silent_since is None:
+                self.silent_since = now
+            if self.name:
+                self._local.view.observe_silence(self.name, now=now)
+            self._wake.clear()
+            await self._wait(
+                platform.backoff_s(
+                    attempt=self.attempts,
+                    generator=self._generator,
+                    base_s=_BACKOFF_BASE_S,
+                    cap_s=_BACKOFF_CAP_S,
+                )
+            )
+
+    async def _serve(self, connection: channel.Channel, broken: "asyncio.Task[None]") -> None:
+        while True:
+            if broken.done():
+                raise errors.PeerError(f"neighbour {self.address}: connection lost")
+            if self._exchange_due:
+                await self._exchange(connection)
+            elif self._reports_due or self._local.store.version > self.version:
+                await self._announce(connection)
+            else:
+                await self._wait(_IDLE_WAIT_S)
+
+    async def _wait(self, timeout_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._wake.wait()
+        self._wake.clear()
+
+    async def _exchange(self, connection: channel.Channel) -> None:
+        self._exchange_due = False
+        self._reports_due = False
+        message = self._local.exchange_message()
+        data = await connection.call(
+            "Exchange", messages.encode(message), timeout_s=channel.CALL_TIMEOUT_S
+        )
+        answer = messages.decode(messages.Exchange, data)
+        self._local.view.observe_sent(message.reports)
+        self.name = answer.node
+        # The neighbour pulls what the exchange told it, so it is not announced to it again.
+        self.version = max(answer.version, message.version)
+        self.heard_at = time.monotonic()
+        self._local.observe(answer)
+
+    async def _announce(self, connection: channel.Channel) -> None:
+        self._reports_due = False
+        message = self._local.announce_message()
+        data = await connection.call(
+            "Announce", messages.encode(message), timeout_s=channel.CALL_TIMEOUT_S
+        )
+        answer = messages.decode(messages.Acknowledge, data)
+        self._local.view.observe_sent(message.reports)
+        self.heard_at = time.monotonic()
+        # The neighbour pulls what was announced, so it is not announced to it again.
+        self.version = max(answer.version, message.version)
+        self._local.observe_version(self.name, answer.version)
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/spread.py
@@ -0,0 +1,296 @@
+"""Propagation of versions and reports between nodes."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import grpc
+import grpc.aio
+
+from laburnumford_fleet import (
+    channel,
+    errors,
+    local_state,
+    messages,
+    neighbour,
+    platform,
+    version_store,
+)
+from laburnumford_objects import head as heads
+
+_log = logging.getLogger(__name__)
+
+_EXCHANGE_INTERVAL_S = 10.0
+_CLOSE_GRACE_S = 0.2
+# A fetch that fails is tried at the next source soon, as a version has 7 s to reach everyone.
+_PULL_BACKOFF_BASE_S = 0.1
+_PULL_BACKOFF_CAP_S = 2.0
+# Bounds calls of one node at a time; a neighbour has at most one announcement, one exchange and
+# one fetch in flight.
+_MAX_CONCURRENT_CALLS = 64
+
+
+class Spread:
+    """Serves control calls and keeps one task per neighbour.
+
+    Args:
+        address: control address to listen on.
+        store: version in force.
+        generator: source of the jitter.
+        on_pulled: called after a version of a peer was applied.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        store: version_store.VersionStore,
+        generator: random.Random,
+        on_pulled: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._store = store
+        self._generator = generator
+        self._on_pulled = on_pulled
+        self._local: local_state.LocalState | None = None
+        self._server: grpc.aio.Server | None = None
+        self._neighbours: dict[str, neighbour.Neighbour] = {}
+        self._ahead_by_node: dict[str, int] = {}
+        self._ahead = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._closing: set[asyncio.Task[None]] = set()
+        self._turn = 0
+        self.port = 0
+
+    @property
+    def neighbours(self) -> tuple[neighbour.Neighbour, ...]:
+        """The neighbours in order of address."""
+        return tuple(self._neighbours[address] for address in sorted(self._neighbours))
+
+    @property
+    def behind(self) -> bool:
+        """Whether a connected neighbour is known to hold a higher version."""
+        return self._source() is not None
+
+    async def start(self, local: local_state.LocalState) -> None:
+        """Listens on the control address and starts the tasks.
+
+        Raises:
+            PeerError: the address cannot be bound.
+        """
+        self._local = local
+        server = grpc.aio.server(
+            options=(*channel.OPTIONS, ("grpc.so_reuseport", 0)),
+            maximum_concurrent_rpcs=_MAX_CONCURRENT_CALLS,
+        )
+        methods: dict[str, Callable[[bytes], Awaitable[bytes]]] = {
+            "Announce": self._answer_announce,
+            "Exchange": self._answer_exchange,
+            "Fetch": self._answer_fetch,
+        }
+        handlers = {
+            name: grpc.unary_unary_rpc_method_handler(self._handler(name, answer))
+            for name, answer in methods.items()
+        }
+        server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(channel.SERVICE, handlers),)
+        )
+        try:
+            self.port = server.add_insecure_port(self._address)
+        except RuntimeError as error:
+            raise errors.PeerError(f"control address {self._address}: {error}") from error
+        await server.start()
+        self._server = server
+        self._tasks = [
+            asyncio.create_task(self._exchange_loop(), name="fleet exchange"),
+            asyncio.create_task(self._pull_loop(), name="fleet pull"),
+        ]
+
+    async def close(self) -> None:
+        """Ends all tasks and stops listening."""
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        await asyncio.gather(*(found.close() for found in self._neighbours.values()))
+        self._neighbours.clear()
+        if self._closing:
+            await asyncio.wait(self._closing)
+        if self._server is not None:
+            await self._server.stop(_CLOSE_GRACE_S)
+
+    def resize(self, names_by_address: Mapping[str, str]) -> None:
+        """Sets the neighbours: starts the tasks of new ones, ends those of others."""
+        if self._local is None:
+            return
+        for address in self._neighbours.keys() - names_by_address.keys():
+            ending = asyncio.create_task(self._neighbours.pop(address).close())
+            self._closing.add(ending)
+            ending.add_done_callback(self._closing.discard)
+        for address, name in names_by_address.items():
+            if address not in self._neighbours:
+                added = neighbour.Neighbour(
+                    address=address, name=name, local=self._local, generator=self._generator
+                )
+                self._neighbours[address] = added
+                added.start()
+
+    def wake(self, *, exchange: bool = False, reports: bool = False) -> None:
+        """Lets all neighbours learn of a new version or of waiting reports at once."""
+        for found in self._neighbours.values():
+            found.wake(exchange=exchange, reports=reports)
+
+    def wake_one(self) -> None:
+        """Lets one connected neighbour, in turn, take the waiting reports."""
+        connected = [found for found in self.neighbours if found.connected]
+        if connected:
+            self._turn += 1
+            connected[self._turn % len(connected)].wake(reports=True)
+
+    def observe_ahead(self, node: str, version: int) -> None:
+        """Takes over that a node holds a higher version."""
+        self._ahead_by_node[node] = version
+        self._ahead.set()
+
+    def observe_contact(self, node: str, version: int) -> None:
+        """Takes over that a node sent a message."""
+        for found in self._neighbours.values():
+            if found.name == node:
+                found.heard(version)
+
+    def _handler(
+        self, name: str, answer: Callable[[bytes], Awaitable[bytes]]
+    ) -> Callable[[bytes, Any], Awaitable[bytes]]:
+        async def handle(request: bytes, context: Any) -> bytes:
+            assert self._local is not None
+            self._local.counter.received(len(request))
+            try:
+                data = await answer(request)
+            except errors.FleetError as error:
+                _log.warning("fleet: refused %s from %s: %s", name, context.peer(), error)
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error)[:200])
+                raise
+            self._local.counter.sent(len(data))
+            return data
+
+        return handle
+
+    async def _answer_announce(self, request: bytes) -> bytes:
+        assert self._local is not None
+        message = messages.decode(messages.Announce, request)
+        self._local.observe(message)
+        self.observe_contact(message.node, message.version)
+        return messages.encode(messages.Acknowledge(self._local.incarnation, self._store.version))
+
+    async def _answer_exchange(self, request: bytes) -> bytes:
+        assert self._local is not None
+        message = messages.decode(messages.Exchange, request)
+        self._local.observe(message)
+        self.observe_contact(message.node, message.version)
+        answer = self._local.exchange_message()
+        self._local.view.observe_sent(answer.reports)
+        return messages.encode(answer)
+
+    async def _answer_fetch(self, request: bytes) -> bytes:
+        message = messages.decode(messages.Fetch, request)
+        return messages.encode(await self._store.changes(message))
+
+    async def _exchange_loop(self) -> None:
+        order: list[str] = []
+        while True:
+            await asyncio.sleep(_EXCHANGE_INTERVAL_S * self._generator.uniform(0.8, 1.2))
+            if not order:
+                order = sorted(self._neighbours)
+                self._generator.shuffle(order)
+            while order:
+                found = self._neighbours.get(order.pop())
+                if found is not None and found.connected:
+                    found.wake(exchange=True)
+                    break
+
+    async def _pull_loop(self) -> None:
+        attempt = 0
+        while True:
+            await self._ahead.wait()
+            self._ahead.clear()
+            while (source := self._source()) is not None:
+                try:
+                    await self._pull(source)
+                    attempt = 0
+                except errors.FleetError as error:
+                    _log.info("fleet: pull from %s failed: %s", source.name, error)
+                    self._ahead_by_node.pop(source.name, None)
+                    attempt += 1
+                    await asyncio.sleep(
+                        platform.backoff_s(
+                            attempt=attempt,
+                            generator=self._generator,
+                            base_s=_PULL_BACKOFF_BASE_S,
+                            cap_s=_PULL_BACKOFF_CAP_S,
+                        )
+                    )
+
+    def _source(self) -> neighbour.Neighbour | None:
+        """Returns a connected neighbour with the highest version above the one in force."""
+        for node, version in tuple(self._ahead_by_node.items()):
+            if version <= self._store.version:
+                del self._ahead_by_node[node]
+        usable = [
+            found
+            for found in self._neighbours.values()
+            if found.connected and found.name in self._ahead_by_node
+        ]
+        return max(usable, key=lambda found: self._ahead_by_node[found.name], default=None)
+
+    async def _pull(self, source: neighbour.Neighbour) -> None:
+        """Applies what the source holds; a chain of deltas that fails is replaced by a snapshot."""
+        request = messages.Fetch(self._store.version, self._store.digest)
+        answer = await source.fetch(request)
+        if answer.parts == 0:
+            if answer.version <= self._store.version:
+                # The source announced a version that it does not hold, or another was faster.
+                self._ahead_by_node.pop(source.name, None)
+                return
+            if request.since != self._store.version:
+                return
+            try:
+                if self._store.apply_deltas(answer.deltas, self._head(answer), node=source.name):
+                    self._on_pulled()
+                return
+            except errors.VersionError as error:
+                _log.warning("fleet: snapshot is asked from %s: %s", source.name, error)
+            answer = await source.fetch(self._part_request(0, 0))
+        await self._pull_snapshot(source, answer)
+
+    async def _pull_snapshot(self, source: neighbour.Neighbour, first: messages.Changes) -> None:
+        parts = [first.data]
+        while len(parts) < first.parts:
+            answer = await source.fetch(self._part_request(first.version, len(parts)))
+            if (answer.version, answer.digest) != (first.version, first.digest):
+                raise errors.MessageError(
+                    f"snapshot part {len(parts)}: found version {answer.version}, "
+                    f"allowed {first.version}"
+                )
+            parts.append(answer.data)
+        if first.parts == 0 or first.version <= self._store.version:
+            raise errors.MessageError(
+                f"snapshot of {source.name}: found version {first.version} in {first.parts} "
+                f"parts, allowed above {self._store.version}"
+            )
+        if self._store.apply_snapshot(parts, self._head(first), node=source.name):
+            self._on_pulled()
+
+    def _part_request(self, version: int, part: int) -> messages.Fetch:
+        return messages.Fetch(self._store.version, self._store.digest, True, version, part)
+
+    def _head(self, answer: messages.Changes) -> heads.Head:
+        """Returns the head that the answer of a peer stands for."""
+        return heads.Head(
+            workspace=self._store.object_set.workspace,
+            version=answer.version,
+            digest=answer.digest.hex(),
+            snapshot_version=answer.version,
+            snapshot_parts=max(1, answer.parts),
+        )
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_membership.py
@@ -0,0 +1,242 @@
+"""Tests of the membership view."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful, strategies
+
+from laburnumford_fleet import membership, messages, report_state, standing, vm
+
+_LIVE, _LEAVING, _SILENT = (
+    standing.Standing.LIVE,
+    standing.Standing.LEAVING,
+    standing.Standing.SILENT,
+)
+_NAMES = ("a", "b", "c")
+
+
+def _view(names=_NAMES) -> membership.Membership:
+    view = membership.Membership()
+    view.apply_published(dict.fromkeys(names, False))
+    return view
+
+
+def _report(name, incarnation, state=report_state.ReportState.LIVE, uptime_s=1.0, age_s=0.0):
+    return messages.Report(name, incarnation, int(state), int(uptime_s * 1000), int(age_s * 1000))
+
+
+def _vms(**leaving_by_name):
+    return [vm.Vm(name=name, zone="z", leaving=value) for name, value in leaving_by_name.items()]
+
+
+def _call(view, name, now, *, answered=True, draining=False):
+    view.observe_call(name, answered=answered, draining=draining, started_at=now, now=now)
+
+
+def test_own_answers_outvote_a_list_that_dropped_a_live_server():
+    """Guards against work that a wrong list takes away from a server that answers."""
+    view = _view()
+    view.apply_list(_vms(a=False, b=False, c=False), now=0.0)
+    view.apply_list(_vms(b=False, c=False), now=1.0)
+    assert view.standing_of("a", now=1.0) is _SILENT
+    _call(view, "a", 2.0)
+    assert view.standing_of("a", now=2.5) is _LIVE
+
+
+def test_own_failures_outvote_a_list_that_shows_a_dead_server():
+    """Guards against calls to a dead server that the lagging list still shows."""
+    view = _view()
+    view.apply_list(_vms(a=False), now=0.0)
+    for now in (1.0, 1.1, 1.2):
+        assert view.live("a", now=now)
+        _call(view, "a", now, answered=False)
+    assert view.standing_of("a", now=1.3) is _SILENT
+    assert view.live("a", now=12.0)
+
+
+def test_listed_leaving_holds_until_own_calls_or_a_restart_contradict_it():
+    """Guards against new work for a leaving server (P5) and against a list that stays behind."""
+    view = _view()
+    _call(view, "a", 0.0)
+    view.apply_list(_vms(a=True), now=1.0)
+    assert view.standing_of("a", now=1.0) is _LEAVING
+    _call(view, "a", 2.0)
+    assert view.standing_of("a", now=2.0) is _LEAVING
+    _call(view, "a", 4.5)
+    assert view.standing_of("a", now=4.5) is _LIVE
+    view.observe_report(_report("b", 1, uptime_s=100.0), now=4.5)
+    view.apply_list(_vms(a=False, b=True), now=5.0)
+    assert view.standing_of("b", now=6.0) is _LEAVING
+    view.observe_report(_report("b", 2, uptime_s=0.5), now=6.0)
+    assert view.standing_of("b", now=6.0) is _LIVE
+
+
+def test_late_report_of_an_earlier_incarnation_is_ignored():
+    """Guards against a restarted node that an old message marks as leaving again."""
+    view = _view()
+    view.observe_report(_report("a", 1, report_state.ReportState.LEAVING, 50.0), now=50.0)
+    assert view.standing_of("a", now=50.0) is _LEAVING
+    view.observe_report(_report("a", 2, uptime_s=1.0), now=60.0)
+    view.observe_report(_report("a", 1, report_state.ReportState.LEAVING, 55.0), now=61.0)
+    assert view.incarnation("a") == 2
+    assert view.live("a", now=61.0)
+
+
+def test_refusal_as_draining_lapses():
+    """Guards against a server that ends its drain and never gets work again."""
+    view = _view()
+    _call(view, "a", 1.0, draining=True)
+    assert view.standing_of("a", now=2.0) is _LEAVING
+    assert view.live("a", now=32.0)
+
+
+def test_pause_forgets_failures_and_silence():
+    """Guards against a paused node that takes its expired calls for dead servers."""
+    view = _view()
+    for now in (1.0, 1.1, 1.2):
+        _call(view, "a", now, answered=False)
+    view.observe_silence("b", now=1.2)
+    view.observe_pause(now=5.0)
+    for _ in range(3):
+        _call(view, "c", 5.5, answered=False)
+    assert all(view.live(name, now=5.5) for name in _NAMES)
+
+
+def test_lost_zone_gives_bounded_reports():
+    """Guards against a surge of reports when a third of the fleet goes."""
+    names = [f"server-{index}" for index in range(3000)]
+    view = _view(names)
+    for name in names:
+        view.observe_report(_report(name, 1, uptime_s=10.0), now=10.0)
+    for name in names:
+        view.observe_silence(name, now=20.0)
+    sent = 0
+    while reports := view.reports(limit=messages.MAX_REPORTS, now=20.0):
+        view.observe_sent(reports)
+        sent += len(reports)
+    assert sent <= 1024 * 8
+
+
+def test_unpublished_server_is_absent():
+    """Guards against work for a server that the version in force no longer names."""
+    view = _view()
+    view.apply_published({"b": True}, removed=["a"])
+    view.observe_report(_report("a", 1), now=1.0)
+    assert view.standing_of("a", now=1.0) is standing.Standing.ABSENT
+    assert view.standing_of("b", now=1.0) is _LEAVING
+
+
+class MergeMachine(stateful.RuleBasedStateMachine):
+    """Two observers of three servers, with restarts, leaving, delays and partitions."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.born = dict.fromkeys(_NAMES, 900.0)
+        self.incarnations = dict.fromkeys(_NAMES, 1)
+        self.leaving = dict.fromkeys(_NAMES, False)
+        self.views = (_view(), _view())
+        self.delayed: list[tuple[float, messages.Report]] = []
+
+    def _truth(self, name):
+        state = (
+            report_state.ReportState.LEAVING
+            if self.leaving[name]
+            else report_state.ReportState.LIVE
+        )
+        return _report(name, self.incarnations[name], state, self.now - self.born[name])
+
+    @stateful.rule(seconds=strategies.integers(1, 40))
+    def wait(self, seconds):
+        """Lets time pass."""
+        self.now += seconds
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES))
+    def restart(self, name):
+        """Restarts a node; its last message is late."""
+        self.now += 1.0
+        self.delayed.append((self.now, self._truth(name)))
+        self.now += 1.0
+        self.incarnations[name] += 1
+        self.born[name] = self.now
+        self.leaving[name] = False
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES))
+    def leave(self, name):
+        """Lets a node leave."""
+        self.leaving[name] = True
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES), side=strategies.integers(0, 1))
+    def contact(self, name, side):
+        """Lets a side hear a node."""
+        self.views[side].observe_report(self._truth(name), now=self.now)
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES), side=strategies.integers(0, 1))
+    def silence(self, name, side):
+        """Lets a call of a side to a node time out."""
+        self.views[side].observe_silence(name, now=self.now)
+
+    @stateful.rule(side=strategies.integers(0, 1), answered=strategies.booleans())
+    def own_calls(self, side, answered):
+        """Makes three calls from a side to one server."""
+        for _ in range(3):
+            _call(self.views[side], "a", self.now, answered=answered)
+        woke = self.now - self.views[side]._woke_at < 2.0
+        if not answered and not woke:
+            assert not self.views[side].live("a", now=self.now)
+
+    @stateful.rule(side=strategies.integers(0, 1), shown=strategies.booleans())
+    def wrong_list(self, side, shown):
+        """Shows a side a list that lags."""
+        self.views[side].apply_list(_vms(**({"a": False} if shown else {})), now=self.now)
+
+    @stateful.rule(side=strategies.integers(0, 1))
+    def pause(self, side):
+        """Pauses a side."""
+        self.now += 5.0
+        self.views[side].observe_pause(now=self.now)
+
+    @stateful.precondition(lambda self: self.delayed)
+    @stateful.rule(side=strategies.integers(0, 1), index=strategies.integers(0, 50))
+    def deliver_late(self, side, index):
+        """Delivers a late message of an earlier incarnation."""
+        sent_at, report = self.delayed[index % len(self.delayed)]
+        known = self.views[side].incarnation(report.server)
+        # Late by less than the life of the later incarnation, as a control call is bounded by 2 s.
+        if self.now - sent_at <= 2.0:
+            self.views[side].observe_report(report, now=self.now)
+            assert self.views[side].incarnation(report.server) >= known
+
+    @stateful.rule()
+    def heal(self):
+        """Each side hears every server once more, then both exchange their news."""
+        for side, names in enumerate((_NAMES[:2], _NAMES[2:])):
+            for name in names:
+                self.views[side].observe_report(self._truth(name), now=self.now)
+        for view in self.views:
+            view.requeue(since=0.0)
+        for _ in range(2):
+            for source, target in (self.views, self.views[::-1]):
+                reports = source.reports(limit=messages.MAX_REPORTS, now=self.now)
+                for report in reports:
+                    target.observe_report(report, now=self.now)
+                source.observe_sent(reports)
+        later = self.now + 16.0
+        for name in _NAMES:
+            found = [view.incarnation(name) for view in self.views]
+            if all(found):
+                assert found == [self.incarnations[name]] * 2
+                if self.leaving[name]:
+                    assert not any(view.live(name, now=later) for view in self.views)
+
+    @stateful.invariant()
+    def never_ahead_of_the_truth(self):
+        """Compares the incarnations."""
+        for view in self.views:
+            for name in _NAMES:
+                assert view.incarnation(name) <= self.incarnations[name]
+
+
+MergeMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=150, stateful_step_count=40
+)
+TestMerge = pytest.mark.timeout(100)(MergeMachine.TestCase)
