Add the judge

Tests with real processes need one place that decides whether the invariants P1 to P7 hold. The judge is a pure function over the logs of runs, callers, probes, stops and versions, with one registered rule per invariant, and returns typed findings.

--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/judge/rules.py
@@ -0,0 +1,244 @@
+"""Rules, one per invariant."""
+
+import collections
+from collections.abc import Iterator
+from typing import Protocol
+
+from laburnumford_objects import registry
+from laburnumford_testkit.backend import run as run_module
+from laburnumford_testkit.judge import evidence as evidence_module
+from laburnumford_testkit.judge import finding as finding_module
+from laburnumford_testkit.judge import invariant as invariant_module
+from laburnumford_testkit.judge import measuring as measuring_module
+from laburnumford_testkit.judge import planned_stop
+
+_NOT_IDEMPOTENT = frozenset({"POST", "PATCH"})
+# A planned stop and the requests around it are dated by different processes of one machine,
+# which share the monotonic clock; this covers the time between an event and its time stamp.
+_STAMP_S = 0.005
+
+Invariant = invariant_module.Invariant
+Findings = Iterator[finding_module.Finding]
+
+
+class Rule(Protocol):
+    """Looks for violations of one invariant."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields the violations."""
+
+
+rules: registry.Registry[Rule] = registry.Registry("rule")
+
+
+@rules.register("at-most-once")
+class AtMostOnce:
+    """A key, or a call that is not idempotent, runs at most once."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields keys and calls that ran more than once."""
+        runs_by_subject: dict[str, list[run_module.Run]] = collections.defaultdict(list)
+        for run in evidence.runs:
+            if run.key:
+                runs_by_subject[f"key {run.key}"].append(run)
+            elif run.method in _NOT_IDEMPOTENT and run.call_id:
+                runs_by_subject[f"call {run.call_id}"].append(run)
+        for subject, runs in runs_by_subject.items():
+            if len(runs) > 1:
+                places = ", ".join(f"{run.server} at {run.started:.6f}" for run in runs)
+                yield finding_module.Finding(
+                    invariant=Invariant.AT_MOST_ONCE,
+                    subject=subject,
+                    message=f"ran {len(runs)} times ({places}); allowed: 1",
+                )
+
+
+@rules.register("refused-never-ran")
+class RefusedNeverRan:
+    """A request whose whole answer says refused has no run, before or after."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields refused requests that ran."""
+        run_by_call_id = {run.call_id: run for run in evidence.runs if run.call_id}
+        for record in evidence.records:
+            run = run_by_call_id.get(record.call_id)
+            if record.outcome == "refused" and run is not None:
+                yield finding_module.Finding(
+                    invariant=Invariant.REFUSED_NEVER_RAN,
+                    subject=f"call {record.call_id}",
+                    message=f"answered {record.status} refused ({record.reason}), "
+                    f"but ran on {run.server} at {run.started:.6f}",
+                )
+
+
+@rules.register("complete-own-answer")
+class CompleteOwnAnswer:
+    """A whole answer has the bytes of its own request and stems from a run."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields answers that are foreign, mixed, short or invented."""
+        ran = {run.call_id for run in evidence.runs}
+        for record in evidence.records:
+            if record.own is False:
+                yield finding_module.Finding(
+                    invariant=Invariant.COMPLETE_OWN_ANSWER,
+                    subject=f"call {record.call_id}",
+                    message=f"answer {record.status} of {record.answer_bytes} bytes with id "
+                    f"{record.answer_id!r} is not the whole answer to this call",
+                )
+            elif record.own and evidence.all_runs_known and record.answer_id not in ran:
+                yield finding_module.Finding(
+                    invariant=Invariant.COMPLETE_OWN_ANSWER,
+                    subject=f"call {record.call_id}",
+                    message=f"answer with id {record.answer_id!r} stems from no logged run",
+                )
+
+
+@rules.register("no-work-after-leaving")
+class NoWorkAfterLeaving:
+    """A leaving backend server starts no run after the allowance."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields runs that started too late."""
+        for leave in evidence.leaves:
+            last = leave.at + leave.allowance_s
+            until = float("inf") if leave.until is None else leave.until
+            late = [
+                run
+                for run in evidence.runs
+                if run.server == leave.server and last < run.started < until
+            ]
+            if late:
+                worst = max(run.started for run in late) - leave.at
+                yield finding_module.Finding(
+                    invariant=Invariant.NO_WORK_AFTER_LEAVING,
+                    subject=f"server {leave.server}",
+                    message=f"started {len(late)} runs up to {worst:.3f} s after it began to "
+                    f"leave; allowed: {leave.allowance_s:g} s",
+                )
+
+
+@rules.register("nothing-cut")
+class NothingCut:
+    """A planned stop interrupts no run and no request in flight, and ends with status 0."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields what a planned stop has cut."""
+        gave_up = {record.call_id for record in evidence.records if record.error == "timeout"}
+        for stop in evidence.stops:
+            if stop.exit_status != 0:
+                yield self._finding(
+                    f"server {stop.server}", f"ended with status {stop.exit_status}; allowed: 0"
+                )
+            for run in evidence.runs:
+                if run.call_id not in gave_up and _is_cut_run(run, stop):
+                    yield self._finding(
+                        f"call {run.call_id}",
+                        f"run on {run.server}, started at {run.started:.6f}, was cut by the "
+                        f"planned stop at {stop.began:.6f}",
+                    )
+            for record in evidence.records:
+                in_flight = record.sent < stop.began or record.error.startswith("truncated")
+                if (
+                    stop.edge_address
+                    and record.target == stop.edge_address
+                    and record.sent <= stop.ended
+                    and in_flight
+                    and (record.answered is None or record.answered >= stop.began)
+                    and record.error
+                    and record.error != "timeout"
+                ):
+                    yield self._finding(
+                        f"call {record.call_id}",
+                        f"sent {stop.began - record.sent:.3f} s before the planned stop of the "
+                        f"node of {stop.server}, was cut: {record.error}",
+                    )
+
+    def _finding(self, subject: str, message: str) -> finding_module.Finding:
+        return finding_module.Finding(
+            invariant=Invariant.NOTHING_CUT, subject=subject, message=message
+        )
+
+
+@rules.register("measuring-within-budget")
+class MeasuringWithinBudget:
+    """Measuring requests fit a token bucket of the budget."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields backend servers whose measuring exceeds its budget."""
+        for measuring in evidence.measuring:
+            calls = [(at, 1.0) for at, _ in measuring.probes]
+            sizes = [(at, float(size)) for at, size in measuring.probes]
+            yield from self._check(measuring, "calls", calls, measuring.calls_per_s)
+            yield from self._check(measuring, "bytes", sizes, measuring.bytes_per_s)
+
+    def _check(
+        self,
+        measuring: measuring_module.Measuring,
+        unit: str,
+        costs: list[tuple[float, float]],
+        rate: float,
+    ) -> Findings:
+        ordered = sorted(costs)
+        if not ordered:
+            return
+        single = max(cost for _, cost in ordered) if rate > 0 else 0.0
+        burst = max(single, rate * measuring.burst_s)
+        level, last = burst, ordered[0][0]
+        for at, cost in ordered:
+            level = min(burst, level + (at - last) * rate) - cost
+            last = at
+            if level < -1e-6:
+                span_s = ordered[-1][0] - ordered[0][0]
+                total = sum(spent for _, spent in ordered)
+                yield finding_module.Finding(
+                    invariant=Invariant.MEASURING_WITHIN_BUDGET,
+                    subject=f"server {measuring.server}",
+                    message=f"measuring took {total:g} {unit} within {span_s:.3f} s and exceeded "
+                    f"{rate:g} {unit}/s at {at:.6f}",
+                )
+                return
+
+
+@rules.register("version-never-older")
+class VersionNeverOlder:
+    """The version in force at a node never decreases, and follows publications in time."""
+
+    def check(self, evidence: evidence_module.Evidence) -> Findings:
+        """Yields nodes that went back to an older version or were late."""
+        highest_by_node: dict[str, int] = {}
+        late: set[tuple[str, int]] = set()
+        for observation in sorted(evidence.observations, key=lambda seen: seen.at):
+            node, version = observation.node, observation.version
+            highest = highest_by_node.get(node, 0)
+            # A node that has just started has no version yet and takes no calls.
+            if 0 < version < highest:
+                yield self._finding(node, f"went back from version {highest} to {version}")
+            highest_by_node[node] = max(highest, version)
+            due = self._due(evidence, observation.at)
+            if version < due and (node, due) not in late:
+                late.add((node, due))
+                yield self._finding(
+                    node,
+                    f"had version {version} in force at {observation.at:.3f}; version {due} was "
+                    f"due {evidence.propagation_s:g} s after its publication",
+                )
+
+    def _due(self, evidence: evidence_module.Evidence, at: float) -> int:
+        if evidence.propagation_s is None:
+            return 0
+        latest = at - evidence.propagation_s
+        return max((one.version for one in evidence.publications if one.at < latest), default=0)
+
+    def _finding(self, node: str, message: str) -> finding_module.Finding:
+        return finding_module.Finding(
+            invariant=Invariant.VERSION_NEVER_OLDER, subject=f"node {node}", message=message
+        )
+
+
+def _is_cut_run(run: run_module.Run, stop: planned_stop.PlannedStop) -> bool:
+    if run.server != stop.server or run.started > stop.ended:
+        return False
+    if run.ended is None:
+        return True
+    return not run.answer_whole and run.ended >= stop.began - _STAMP_S
