Connect the node to the fleet package

Cause: the node ran with a fake fleet only; a seeded generator would have given a restarted node the incarnation, and so the tickets, of the former one. Change: results of calls feed membership, draining is announced, incarnations come from the system.

--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import secrets
 import time
 from collections.abc import Callable
 from typing import Any
@@ -71,7 +72,9 @@
         )
         self._local = local_state.LocalState(
             node=self._node,
-            incarnation=generator.getrandbits(64) or 1,
+            # Never from the seeded generator: a restart with the same seed would vouch for
+            # the tickets of the former incarnation.
+            incarnation=secrets.randbits(64) or 1,
             store=self._store,
             view=self._view,
             counter=self._meter,
--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -12,6 +12,7 @@
 from laburnumford_policy.admission import admission as admissions
 from laburnumford_policy.admission import changes as admission_changes
 from laburnumford_policy.admission import entry, outcome
+from laburnumford_policy.admission import result as admission_result
 
 _REASON_BY_REFUSAL = {
     "overloaded": reason.Reason.OVERLOADED,
@@ -214,7 +215,11 @@
     def _release_slot(self, started_s: float, result: choice.Result) -> None:
         now = self._clock()
         self._settle(
-            self._admission.release(now=now, service_time_s=now - started_s, result=result)
+            self._admission.release(
+                now=now,
+                service_time_s=now - started_s,
+                result=admission_result.Result(result.value),
+            )
         )
 
     def _drop(self, entry_ids: Sequence[int], why: str) -> None:
--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -23,6 +23,11 @@
 _RETRY_OWN_REASONS = frozenset({reason.Reason.DEADLINE})
 
 
+PeerResult = Callable[[str, bool, bool, float], None]
+"""Takes the server name, whether its node answered, whether it is draining, and the
+monotonic time when the call was sent."""
+
+
 class Dispatcher:
     """Chooses servers for calls and makes the attempts.
 
@@ -33,6 +38,7 @@
         states: learned state by service.
         current: returns the view in force.
         on_peer_version: called with the version that a peer sent.
+        on_peer_result: called with the result of each call to another node.
         counters: metrics of the node.
         clock: monotonic clock in seconds.
     """
@@ -46,6 +52,7 @@
         states: service_state.ServiceStates,
         current: Callable[[], view.View],
         on_peer_version: Callable[[bytes], None],
+        on_peer_result: PeerResult,
         counters: metrics.Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -55,6 +62,7 @@
         self._states = states
         self._current = current
         self._on_peer_version = on_peer_version
+        self._on_peer_result = on_peer_result
         self._metrics = counters
         self._clock = clock
 
@@ -153,9 +161,11 @@
                 ongoing = await self._call_peer(ongoing_call, name, resends, on_informational)
         except errors.RefusedError as error:
             ended(error.report, choice.Result.REFUSED)
+            self._tell_fleet(name, True, error.why is reason.Reason.DRAINING, started_s)
             raise
-        except errors.AttemptError:
+        except errors.AttemptError as error:
             ended(None, choice.Result.FAILED)
+            self._tell_fleet(name, not isinstance(error, errors.NotWrittenError), False, started_s)
             raise
         except BaseException:
             ended(None, choice.Result.CANCELLED)
@@ -169,8 +179,13 @@
             else peer_client.load_report(ongoing.answer.fields)
         )
         ended(report, choice.Result.ANSWERED)
+        self._tell_fleet(name, True, False, started_s)
         return ongoing
 
+    def _tell_fleet(self, name: str, answered: bool, draining: bool, started_s: float) -> None:
+        if name != self._server_name:
+            self._on_peer_result(name, answered, draining, started_s)
+
     def _observe(
         self,
         chooser: choice.Chooser,
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -106,6 +106,7 @@
             states=self._states,
             current=self._current_view,
             on_peer_version=self._observe_peer_version,
+            on_peer_result=self._observe_peer_result,
             counters=self._metrics,
             clock=clock,
         )
@@ -181,6 +182,7 @@
         self._edge.draining = True
         self._tickets.draining = True
         self._adjacent.drain()
+        self._fleet.leave()
         grace_s = self._settings.grace_s
         await asyncio.sleep(min(_LEAVE_GRACE_S, grace_s))
         resets = await asyncio.gather(
@@ -252,6 +254,11 @@
         if value.isdigit() and len(value) <= 18:
             self._fleet.observe_peer_version("", int(value))
 
+    def _observe_peer_result(
+        self, name: str, answered: bool, draining: bool, started_s: float
+    ) -> None:
+        self._fleet.observe_call(name, answered=answered, draining=draining, started_at=started_s)
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
