--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -186,6 +186,11 @@
         """Returns whether a server takes new work, as far as this node knows."""
         return self._view.live(server_name, now=time.monotonic())
 
+    def leaving(self, server_name: str) -> bool:
+        """Returns whether a server is to take no new work, by any source."""
+        found = self._view.standing_of(server_name, now=time.monotonic())
+        return found is standing.Standing.LEAVING
+
     def leave(self) -> None:
         """Tells the neighbours at once that this node takes no new work."""
         self._local.leaving = True
--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -46,7 +46,8 @@
         self._entry_ids = itertools.count(1)
         self._waiting_by_id: dict[int, asyncio.Future[None]] = {}
         self._slots = 0
-        self.server_draining = False
+        self.leaving = False
+        self._server_draining = False
         self.last_call_s = clock()
         self.calls_count = 0
 
@@ -55,6 +56,11 @@
         """The admission of this server."""
         return self._admission
 
+    @property
+    def draining(self) -> bool:
+        """Whether the server takes no new work, by its own word or by the fleet's view."""
+        return self._server_draining or self.leaving
+
     def report(self) -> choice.LoadReport:
         """Returns the present load."""
         load = self._admission.report()
@@ -63,7 +69,7 @@
     def has_capacity(self) -> bool:
         """Whether a request would run at once."""
         load = self._admission.report()
-        return not self.server_draining and load.queued == 0 and load.running < load.limit
+        return not self.draining and load.queued == 0 and load.running < load.limit
 
     async def run(
         self,
@@ -164,7 +170,7 @@
         except BaseException:
             ongoing.abandon()
             raise
-        self.server_draining = fields.get(answer.fields, header_names.DRAINING) == b"1"
+        self._server_draining = fields.get(answer.fields, header_names.DRAINING) == b"1"
         if fields.get(answer.fields, header_names.OUTCOME) == b"refused":
             await ongoing.end(whole=True)
             raise errors.RefusedError(
@@ -174,7 +180,7 @@
 
     async def _take_slot(self, priority: str, deadline_s: float) -> None:
         now = self._clock()
-        if self.server_draining:
+        if self.draining:
             raise errors.RefusedError(reason.Reason.DRAINING, "the backend server is draining")
         entry_id = next(self._entry_ids)
         verdict = self._admission.admit(
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -217,7 +217,7 @@
             "draining": self._edge.draining,
             "server": {
                 **dataclasses.asdict(load),
-                "draining": self._adjacent.server_draining,
+                "draining": self._adjacent.draining,
                 "calls": self._adjacent.calls_count,
             },
             "connections": {
@@ -266,3 +266,4 @@
             self._peer_connections.sweep()
             if self._view is not None:
                 self._states.apply()
+                self._adjacent.leaving = self._fleet.leaving(self._settings.backend_server)
