--- a/packages/objects/src/laburnumford_objects/__init__.py
+++ b/packages/objects/src/laburnumford_objects/__init__.py
@@ -22,6 +22,7 @@
     "policy",
     "problem",
     "published",
+    "reference",
     "registry",
     "resolution",
     "route",
--- a/packages/objects/src/laburnumford_objects/_validation.py
+++ b/packages/objects/src/laburnumford_objects/_validation.py
@@ -71,7 +71,11 @@
     if detail["type"] == "missing":
         return "no value", _schema.allowed(root, _schema.field(model, path)), "missing-field"
     if detail["type"] == "extra_forbidden":
-        return "an unknown field", _schema.allowed(root, _schema.field(model, path[:-1])), "field"
+        return (
+            "an unknown field",
+            _schema.allowed(root, _schema.field(model, path[:-1])),
+            "unknown-field",
+        )
     allowed = _schema.allowed(root, _schema.field(model, path))
     if detail["loc"] and detail["loc"][-1] == "[key]":
         allowed = "a name"
--- a/packages/objects/src/laburnumford_objects/deployment.py
+++ b/packages/objects/src/laburnumford_objects/deployment.py
@@ -36,6 +36,7 @@
     "routes": "route",
     "policies": "policy",
 }
+_ALLOWED = "object with the fields " + ", ".join(["workspace", *_MODELS_BY_SECTION])
 
 
 class _Header(_model.Model):
@@ -91,8 +92,7 @@
 
     def read(self) -> Reading:
         if not isinstance(self._root.data, dict):
-            fields = ", ".join(["workspace", *_MODELS_BY_SECTION])
-            self._add("", problem.shown(self._root.data), f"object with the fields {fields}")
+            self._add("", problem.shown(self._root.data), _ALLOWED)
             return self._reading(None)
         children = self._root.children
         rest = {key: value for key, value in children.items() if key not in _MODELS_BY_SECTION}
@@ -104,7 +104,12 @@
         workspace, problems = _validation.validate(
             _Header, header, self._path, lambda _: ("deployment", 0)
         )
-        self._problems += problems
+        self._problems += [
+            dataclasses.replace(entry, allowed=_ALLOWED)
+            if entry.rule == "unknown-field"
+            else entry
+            for entry in problems
+        ]
         objects_by_section = {section: self._section(section) for section in _MODELS_BY_SECTION}
         loaded = None
         if workspace is not None:
--- a/packages/objects/src/laburnumford_objects/node_settings.py
+++ b/packages/objects/src/laburnumford_objects/node_settings.py
@@ -48,9 +48,13 @@
         ge=0,
         le=2**63 - 1,
     )
-    log: node_log.NodeLog = _model.declared("Log.", default=node_log.NodeLog())
-    trace: node_trace.NodeTrace = _model.declared("Trace.", default=node_trace.NodeTrace())
-    limits: node_limits.NodeLimits = _model.declared("Limits.", default=node_limits.NodeLimits())
+    log: node_log.NodeLog = _model.declared("What it logs, and how.", default=node_log.NodeLog())
+    trace: node_trace.NodeTrace = _model.declared(
+        "Where it writes spans.", default=node_trace.NodeTrace()
+    )
+    limits: node_limits.NodeLimits = _model.declared(
+        "Bounds on connections, memory and waits.", default=node_limits.NodeLimits()
+    )
     grace_s: float = _model.declared(
         "Time to finish requests when the node stops.", "s", ge=0, le=3600, default=30.0
     )
--- a/packages/objects/src/laburnumford_objects/tests/test_bundle.py
+++ b/packages/objects/src/laburnumford_objects/tests/test_bundle.py
@@ -270,11 +270,8 @@
 def test_contradicting_objects_are_refused(versions):
     """Guards against applying a version that refers to objects that it removes."""
     first, _, _ = versions
-    record = {
-        "version": 2,
-        "base": 1,
-        "delta": {"workspace": "w", "removed_policies": ["p"]},
-    }
+    change = {"workspace": "w", "removed_policies": ["p"]}
+    record = {"version": 2, "base": 1, "delta": change}
     with pytest.raises(errors.InvalidVersionError, match="service 's0': field policy: found 'p'"):
         bundle.verify_delta(first, json.dumps(record).encode())
 
--- a/packages/objects/src/laburnumford_objects/tests/test_check.py
+++ b/packages/objects/src/laburnumford_objects/tests/test_check.py
@@ -64,88 +64,63 @@
     return lambda value: value["groups"][0]["backend_servers"][1].update(fields)
 
 
+_B2 = "backend server 'b2' of group 'g'"
+
+
 @pytest.mark.parametrize(
-    ("change", "rule", "subject", "field", "line_text"),
+    ("change", "expected", "line_text"),
     [
-        (_set("services", 0, group="x"), "unknown-reference", "service 's'", "group", '"x"'),
-        (_set("services", 0, policy="x"), "unknown-reference", "service 's'", "policy", '"x"'),
-        (_set("routes", 0, service="x"), "unknown-reference", "route 't'", "service", '"x"'),
-        (_set("routes", 0, policy="x"), "unknown-reference", "route 't'", "policy", '"x"'),
-        (_set("policies", 0, extends="x"), "unknown-reference", "policy 'p'", "extends", '"x"'),
+        (_set("services", 0, group="x"), "unknown-reference, service 's', group", '"x"'),
+        (_set("services", 0, policy="x"), "unknown-reference, service 's', policy", '"x"'),
+        (_set("routes", 0, service="x"), "unknown-reference, route 't', service", '"x"'),
+        (_set("routes", 0, policy="x"), "unknown-reference, route 't', policy", '"x"'),
+        (_set("policies", 0, extends="x"), "unknown-reference, policy 'p', extends", '"x"'),
         (
             _set("zones", 0, one_way_ms_by_zone={"x": 1}),
-            "unknown-reference",
-            "zone 'z'",
-            "one_way_ms_by_zone.x",
-            '"x"',
-        ),
-        (
-            _set_server(zone="x"),
-            "unknown-reference",
-            "backend server 'b2' of group 'g'",
-            "zone",
+            "unknown-reference, zone 'z', one_way_ms_by_zone.x",
             '"x"',
         ),
-        (_set("policies", 0, extends="q"), "cycle", "policy 'p'", "extends", '"extends": "q"'),
-        (
-            _append("zones", name="z", region="y"),
-            "duplicate-name",
-            "zone 'z'",
-            "name",
-            '"name": "z"',
-        ),
-        (
-            _set_server(name="b1"),
-            "duplicate-name",
-            "backend server 'b1' of group 'g'",
-            "name",
-            '"b1"',
-        ),
+        (_set_server(zone="x"), f"unknown-reference, {_B2}, zone", '"x"'),
+        (_set("policies", 0, extends="q"), "cycle, policy 'p', extends", '"extends": "q"'),
+        (_append("zones", name="z", region="y"), "duplicate-name, zone 'z', name", '"name": "z"'),
+        (_set_server(name="b1"), f"duplicate-name, {_B2.replace('2', '1')}, name", '"b1"'),
         (
             _set_server(peer_address="127.0.0.1:8000"),
-            "duplicate-address",
-            "backend server 'b2' of group 'g'",
-            "peer_address",
+            f"duplicate-address, {_B2}, peer_address",
             "127.0.0.1:8000",
         ),
-        (_set("policies", 0, queue_limit=-1), "out-of-range", "policy 'p'", "queue_limit", "-1"),
+        (_set("policies", 0, queue_limit=-1), "out-of-range, policy 'p', queue_limit", "-1"),
         (
             _set("policies", 1, hedge=True, idempotent=False),
-            "out-of-range",
-            "policy 'q'",
-            "hedge",
+            "out-of-range, policy 'q', hedge",
             '"hedge"',
         ),
         (
             _append("services", name="u", group="g", policy="p"),
-            "unreachable",
-            "service 'u'",
-            "",
+            "unreachable, service 'u', ",
             '"u"',
         ),
         (
             _append("groups", name="u", backend_servers=[_server(3)]),
-            "unreachable",
-            "group 'u'",
-            "",
+            "unreachable, group 'u', ",
             '"u"',
         ),
-        (_append("policies", name="u", extends="p"), "unreachable", "policy 'u'", "", '"u"'),
+        (_append("policies", name="u", extends="p"), "unreachable, policy 'u', ", '"u"'),
         (
             _append("routes", name="u", service="s", path_prefix="/t"),
-            "shadowed-route",
-            "route 'u'",
-            "path_prefix",
+            "shadowed-route, route 'u', path_prefix",
             '"path_prefix"',
         ),
     ],
 )
-def test_problem_is_located(checked, change, rule, subject, field, line_text):
+def test_problem_is_located(checked, change, expected, line_text):
     """Guards against a fault that check passes over, or reports in another place."""
+    rule = expected.partition(",")[0]
     problems = [entry for entry in checked(change) if entry.rule == rule]
-    assert (problems[0].object, problems[0].field) == (subject, field)
-    line = _line_of(problems[0].file, line_text)
-    assert problems[0].line == (line if field else line - 1)  # an object starts before its name
+    first = problems[0]
+    assert f"{first.rule}, {first.object}, {first.field}" == expected
+    line = _line_of(first.file, line_text)
+    assert first.line == (line if first.field else line - 1)  # an object starts before its name
     assert len(problems) == (2 if rule == "cycle" else 1)
 
 
