Bound the cost and the messages of hostile files

Cause: a file of 16 MiB could hold millions of values, and names from a file went into messages at full length and with control characters. The cache of policies went by route name, so a route of another set could fill it. A path of thousands of segments was copied before it was cut.

Change: at most 1,000,000 tokens per file and 1,000 problems per message; names in messages are shortened and escaped; the cache goes by policy name; RouteTable cuts the path to the longest prefix first.

--- a/packages/objects/src/laburnumford_objects/_rules_values.py
+++ b/packages/objects/src/laburnumford_objects/_rules_values.py
@@ -8,8 +8,8 @@
     _findings,
     _packing,
     _validation,
-    backend_server,
     delta,
+    group,
     object_set,
     source,
 )
@@ -33,13 +33,21 @@
         model.model_validate(entry.model_dump(exclude_unset=True, warnings=False))
     except pydantic.ValidationError as error:
 
+        def server_at(path: Sequence[str | int]) -> str | None:
+            if isinstance(entry, group.Group) and len(path) > 1 and isinstance(path[1], int):
+                return entry.backend_servers[path[1]].name
+            return None
+
         def line_of(path: Sequence[str | int]) -> int:
+            name = server_at(path)
+            if name is not None:
+                return findings.line_of(("backend server", key[1], name, 0), path[2:])
             return findings.line_of(key, path)
 
         def name_object(path: Sequence[str | int]) -> tuple[str, int]:
-            if key[0] == "group" and len(path) > 1 and isinstance(path[1], int):
-                server: backend_server.BackendServer = entry.backend_servers[path[1]]  # type: ignore[attr-defined]
-                return findings.text(("backend server", key[1], server.name)), 2
+            name = server_at(path)
+            if name is not None:
+                return findings.text(("backend server", key[1], name)), 2
             return findings.text(key), 0
 
         findings.problems += _validation.problems_of(
--- a/packages/objects/src/laburnumford_objects/_validation.py
+++ b/packages/objects/src/laburnumford_objects/_validation.py
@@ -55,7 +55,7 @@
                 file=file,
                 line=line_of(path),
                 object=subject,
-                field=".".join(str(step) for step in path[depth:]),
+                field=".".join(_step(step) for step in path[depth:]),
                 found=found,
                 allowed=allowed,
                 rule=rule,
@@ -64,6 +64,12 @@
     return problems
 
 
+def _step(step: str | int) -> str:
+    # The names of unknown fields are arbitrary text.
+    text = str(step)
+    return text if text.isprintable() and len(text) <= 64 else problem.shown(text)
+
+
 def _describe(
     model: type[pydantic.BaseModel], path: list[str | int], detail: Any
 ) -> tuple[str, str, str]:
--- a/packages/objects/src/laburnumford_objects/deployment.py
+++ b/packages/objects/src/laburnumford_objects/deployment.py
@@ -142,13 +142,19 @@
     def _object(self, section: str, index: int, item: located.Located) -> Any:
         kind, model = _KINDS_BY_SECTION[section], _MODELS_BY_SECTION[section]
         name = item.data.get("name") if isinstance(item.data, dict) else None
-        subject = f"{kind} {name!r}" if isinstance(name, str) else f"{kind} number {index + 1}"
+        subject = (
+            f"{kind} {problem.shown(name)}"
+            if isinstance(name, str)
+            else f"{kind} number {index + 1}"
+        )
 
         def name_object(path: Sequence[str | int]) -> tuple[str, int]:
             if kind == "group" and len(path) > 1 and path[0] == "backend_servers":
                 server = item.data["backend_servers"][path[1]]
                 server_name = server.get("name") if isinstance(server, dict) else None
-                text = f"{server_name!r}" if isinstance(server_name, str) else f"number {path[1]}"
+                text = f"number {int(path[1]) + 1}"
+                if isinstance(server_name, str):
+                    text = problem.shown(server_name)
                 return f"backend server {text} of {subject}", 2
             return subject, 0
 
@@ -163,7 +169,7 @@
                         line=item.line_of(["name"]),
                         object=subject,
                         field="name",
-                        found=f"{name!r} again, first used on line {first.line_of(['name'])}",
+                        found=f"{problem.shown(name)} again, first used on line {first.line_of(['name'])}",
                         allowed="a name that no other object of its kind has",
                         rule="duplicate-name",
                     )
--- a/packages/objects/src/laburnumford_objects/errors.py
+++ b/packages/objects/src/laburnumford_objects/errors.py
@@ -6,6 +6,8 @@
 if TYPE_CHECKING:
     from laburnumford_objects import problem
 
+_MAX_LISTED = 1000  # a file of 16 MiB can have 450,000 problems
+
 
 class LaburnumfordError(Exception):
     """Base class of every error that laburnumford raises on purpose.
@@ -51,7 +53,10 @@
     """
 
     def __init__(self, problems: "Sequence[problem.Problem]") -> None:
-        super().__init__("\n".join(str(entry) for entry in problems))
+        lines = [str(entry) for entry in problems[:_MAX_LISTED]]
+        if len(problems) > _MAX_LISTED:
+            lines.append(f"and {len(problems) - _MAX_LISTED} more problems")
+        super().__init__("\n".join(lines))
         self.problems = tuple(problems)
 
 
--- a/packages/objects/src/laburnumford_objects/jsonc.py
+++ b/packages/objects/src/laburnumford_objects/jsonc.py
@@ -7,7 +7,8 @@
 import importlib.resources
 import json
 import math
-from collections.abc import Iterator
+import types
+from collections.abc import Iterator, Mapping
 from typing import Any, cast
 
 import lark
@@ -16,8 +17,10 @@
 from laburnumford_objects import errors, located
 
 MAX_BYTES = 16 * 1024 * 1024  # 10,000 backend servers take about 3 MB
+MAX_TOKENS = 1_000_000  # 10,000 backend servers take about 370,000
 MAX_DEPTH = 32  # a deployment needs 6; reading the result recurses once per level
 _MAX_SHOWN = 40
+_NO_CHILDREN: Mapping[str | int, located.Located] = types.MappingProxyType({})
 MAX_NUMBER_LENGTH = 64  # Python refuses to convert integers of more than 4300 digits
 
 _TEXT_BY_TERMINAL = {
@@ -36,8 +39,8 @@
 }
 
 
-class _DepthGuard:
-    """Bounds the nesting while the tokens pass from the lexer to the parser."""
+class _Guard:
+    """Bounds nesting and length while the tokens pass from the lexer to the parser."""
 
     always_accept = ("INVALID",)
 
@@ -45,15 +48,24 @@
         """Passes the tokens on.
 
         Raises:
-            JsoncError: the nesting is deeper than `MAX_DEPTH`.
+            JsoncError: the nesting is deeper than `MAX_DEPTH`, or there are more than
+                `MAX_TOKENS` tokens.
         """
         depth = 0
-        for token in stream:
+        for count, token in enumerate(stream, 1):
+            if count > MAX_TOKENS:
+                raise errors.JsoncError(
+                    "",
+                    token.line or 0,
+                    f"found over {MAX_TOKENS} tokens; expected <= {MAX_TOKENS}",
+                )
             if token.type in ("LBRACE", "LSQB"):
                 depth += 1
                 if depth > MAX_DEPTH:
                     raise errors.JsoncError(
-                        "", token.line or 0, f"nesting deeper than {MAX_DEPTH}, the most allowed"
+                        "",
+                        token.line or 0,
+                        f"found nesting deeper than {MAX_DEPTH}; expected <= {MAX_DEPTH}",
                     )
             elif token.type in ("RBRACE", "RSQB"):
                 depth -= 1
@@ -93,7 +105,7 @@
                 raise errors.JsoncError(
                     "",
                     key.line,
-                    f"found key {name!r} again, first used on line {key_lines[name]};"
+                    f"found key {name[:_MAX_SHOWN]!r} again, first used on line {key_lines[name]};"
                     " expected each key once",
                 )
             key_lines[name] = key.line
@@ -163,16 +175,16 @@
         grammar,
         parser="lalr",
         transformer=_Builder(),
-        postlex=_DepthGuard(),
+        postlex=_Guard(),
         keep_all_tokens=True,
         maybe_placeholders=False,
     )
 
 
 def _located(
-    token: lark.Token, data: Any, children: dict[str | int, located.Located] | None = None
+    token: lark.Token, data: Any, children: Mapping[str | int, located.Located] = _NO_CHILDREN
 ) -> located.Located:
-    return located.Located(data=data, line=token.line or 0, children=children or {})
+    return located.Located(data=data, line=token.line or 0, children=children)
 
 
 def _text(token: lark.Token) -> str:
--- a/packages/objects/src/laburnumford_objects/located.py
+++ b/packages/objects/src/laburnumford_objects/located.py
@@ -1,7 +1,7 @@
 """Values with the lines they were read from."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 
@@ -17,7 +17,7 @@
 
     data: Any
     line: int
-    children: "dict[str | int, Located]"
+    children: "Mapping[str | int, Located]"
 
     def line_of(self, path: Iterable[str | int]) -> int:
         """Returns the line of the value at `path`, or of the nearest value around it."""
--- a/packages/objects/src/laburnumford_objects/object_set.py
+++ b/packages/objects/src/laburnumford_objects/object_set.py
@@ -53,26 +53,28 @@
             PolicyError: the policy or the service of the route is missing, or its policies form a
                 cycle. `check.check` finds both before a set is published.
         """
-        found = self.policy_cache.get(entry.name)
+        name = self._policy_name(entry)
+        found = self.policy_cache.get(name)
         if found is None:
-            found = resolution.resolve(self.policies_by_name, self._policy_name(entry))
-            self.policy_cache[entry.name] = found
+            found = resolution.resolve(self.policies_by_name, name)
+            self.policy_cache[name] = found
         return found
 
     @functools.cached_property
     def policy_cache(self) -> dict[str, policy.Policy]:
-        """Resolved policies by the name of the route, filled by `policy_for`."""
+        """Resolved policies by their names, filled by `policy_for`."""
         return {}
 
     def _policy_name(self, entry: route.Route) -> str:
         if entry.policy is not None:
             return entry.policy
-        if entry.service not in self.services_by_name:
+        named = self.services_by_name.get(entry.service)
+        if named is None:
             raise errors.PolicyError(
                 f"route {entry.name!r}: field service: found {entry.service!r};"
                 " allowed: the name of a service"
             )
-        return self.services_by_name[entry.service].policy
+        return named.policy
 
     def model_copy(
         self, *, update: Mapping[str, Any] | None = None, deep: bool = False
--- a/packages/objects/src/laburnumford_objects/route.py
+++ b/packages/objects/src/laburnumford_objects/route.py
@@ -39,7 +39,7 @@
     )
     host: _Host | None = _model.declared("Host of the request; any host if null.", default=None)
     methods: tuple[Method, ...] | None = _model.declared(
-        "Methods of the request; any method if null.", default=None, min_length=1
+        "Methods of the request; any method if null.", default=None, min_length=1, max_length=8
     )
     policy: _model.Name | None = _model.declared(
         "Name of the policy used instead of the policy of the service.", default=None
--- a/packages/objects/src/laburnumford_objects/routing.py
+++ b/packages/objects/src/laburnumford_objects/routing.py
@@ -22,6 +22,7 @@
     def __init__(self, *, object_set: object_set.ObjectSet) -> None:
         self._tables_by_host: dict[str | None, _Table] = {None: {}}
         self._depth = 0
+        self._longest = 0
         # In the order of names, so that the first of two equal routes wins on every node.
         for _, entry in sorted(object_set.routes_by_name.items()):
             table = self._tables_by_host.setdefault(entry.host, {})
@@ -29,6 +30,7 @@
             for method in entry.methods or (None,):
                 routes_by_method.setdefault(method, entry)
             self._depth = max(self._depth, entry.path_prefix.count("/"))
+            self._longest = max(self._longest, len(entry.path_prefix))
 
     def match(self, method: str, host: str, path: str) -> route.Route | None:
         """Returns the route of a request, None if there is none.
@@ -45,8 +47,9 @@
             table = self._tables_by_host.get(_without_port(host))
             if table is not None:
                 tables.insert(0, table)
-        # No prefix has more segments than `_depth`, so a longer path is cut to them.
-        segments = path.partition("?")[0].split("/", self._depth + 1)
+        # No prefix is longer than `_longest` or has more segments than `_depth`, so the path is
+        # cut to both; a segment that the first cut shortens is too long to match.
+        segments = path[: self._longest + 1].partition("?")[0].split("/", self._depth + 1)
         prefix = "/".join(segments[: self._depth + 1])
         if prefix.endswith("/"):
             prefix = prefix[:-1]
--- a/packages/objects/src/laburnumford_objects/tests/test_jsonc.py
+++ b/packages/objects/src/laburnumford_objects/tests/test_jsonc.py
@@ -71,7 +71,7 @@
         ("/* open", 1, "found '/*'; expected '{'"),
         ('"\\ud800"', 1, "half of a surrogate pair"),
         ("1e999", 1, "found 1e999; expected a number within"),
-        ("[" * 33 + "]" * 33, 1, "nesting deeper than 32"),
+        ("[" * 33 + "]" * 33, 1, "found nesting deeper than 32"),
         ("1" * 65, 1, "found a number of 65 characters"),
     ],
 )
@@ -90,6 +90,9 @@
         jsonc.load(write('"' + "a" * 20 + '"'))
     with pytest.raises(errors.JsoncError, match="expected <= 10"):
         jsonc.parse('"' + "a" * 20 + '"')
+    monkeypatch.setattr(jsonc, "MAX_TOKENS", 3)
+    with pytest.raises(errors.JsoncError, match="found over 3 tokens"):
+        jsonc.parse("[1,1]")
 
 
 def test_unreadable_files_are_reported(write, tmp_path):
--- a/packages/objects/src/laburnumford_objects/zone.py
+++ b/packages/objects/src/laburnumford_objects/zone.py
@@ -14,5 +14,5 @@
     name: _model.Name = _model.declared("Name of the zone.")
     region: _model.Name = _model.declared("Name of the region that contains the zone.")
     one_way_ms_by_zone: Mapping[_model.Name, _Milliseconds] = _model.declared(
-        "One-way network delay to other zones.", "ms", default_factory=dict
+        "One-way network delay to other zones.", "ms", default_factory=dict, max_length=1000
     )
