--- a/packages/objects/src/laburnumford_objects/_validation.py
+++ b/packages/objects/src/laburnumford_objects/_validation.py
@@ -55,7 +55,7 @@
                 file=file,
                 line=line_of(path),
                 object=subject,
-                field=".".join(str(step) for step in path[depth:]),
+                field=".".join(_step(step) for step in path[depth:]),
                 found=found,
                 allowed=allowed,
                 rule=rule,
@@ -64,6 +64,12 @@
     return problems
 
 
+def _step(step: str | int) -> str:
+    # The names of unknown fields are arbitrary text.
+    text = str(step)
+    return text if text.isprintable() and len(text) <= 64 else problem.shown(text)
+
+
 def _describe(
     model: type[pydantic.BaseModel], path: list[str | int], detail: Any
 ) -> tuple[str, str, str]:
@@ -71,7 +77,11 @@
     if detail["type"] == "missing":
         return "no value", _schema.allowed(root, _schema.field(model, path)), "missing-field"
     if detail["type"] == "extra_forbidden":
-        return "an unknown field", _schema.allowed(root, _schema.field(model, path[:-1])), "field"
+        return (
+            "an unknown field",
+            _schema.allowed(root, _schema.field(model, path[:-1])),
+            "unknown-field",
+        )
     allowed = _schema.allowed(root, _schema.field(model, path))
     if detail["loc"] and detail["loc"][-1] == "[key]":
         allowed = "a name"
--- a/packages/objects/src/laburnumford_objects/deployment.py
+++ b/packages/objects/src/laburnumford_objects/deployment.py
@@ -36,6 +36,7 @@
     "routes": "route",
     "policies": "policy",
 }
+_ALLOWED = "object with the fields " + ", ".join(["workspace", *_MODELS_BY_SECTION])
 
 
 class _Header(_model.Model):
@@ -91,8 +92,7 @@
 
     def read(self) -> Reading:
         if not isinstance(self._root.data, dict):
-            fields = ", ".join(["workspace", *_MODELS_BY_SECTION])
-            self._add("", problem.shown(self._root.data), f"object with the fields {fields}")
+            self._add("", problem.shown(self._root.data), _ALLOWED)
             return self._reading(None)
         children = self._root.children
         rest = {key: value for key, value in children.items() if key not in _MODELS_BY_SECTION}
@@ -104,7 +104,12 @@
         workspace, problems = _validation.validate(
             _Header, header, self._path, lambda _: ("deployment", 0)
         )
-        self._problems += problems
+        self._problems += [
+            dataclasses.replace(entry, allowed=_ALLOWED)
+            if entry.rule == "unknown-field"
+            else entry
+            for entry in problems
+        ]
         objects_by_section = {section: self._section(section) for section in _MODELS_BY_SECTION}
         loaded = None
         if workspace is not None:
@@ -137,13 +142,19 @@
     def _object(self, section: str, index: int, item: located.Located) -> Any:
         kind, model = _KINDS_BY_SECTION[section], _MODELS_BY_SECTION[section]
         name = item.data.get("name") if isinstance(item.data, dict) else None
-        subject = f"{kind} {name!r}" if isinstance(name, str) else f"{kind} number {index + 1}"
+        subject = (
+            f"{kind} {problem.shown(name)}"
+            if isinstance(name, str)
+            else f"{kind} number {index + 1}"
+        )
 
         def name_object(path: Sequence[str | int]) -> tuple[str, int]:
             if kind == "group" and len(path) > 1 and path[0] == "backend_servers":
                 server = item.data["backend_servers"][path[1]]
                 server_name = server.get("name") if isinstance(server, dict) else None
-                text = f"{server_name!r}" if isinstance(server_name, str) else f"number {path[1]}"
+                text = f"number {int(path[1]) + 1}"
+                if isinstance(server_name, str):
+                    text = problem.shown(server_name)
                 return f"backend server {text} of {subject}", 2
             return subject, 0
 
@@ -158,7 +169,7 @@
                         line=item.line_of(["name"]),
                         object=subject,
                         field="name",
-                        found=f"{name!r} again, first used on line {first.line_of(['name'])}",
+                        found=f"{problem.shown(name)} again, first used on line {first.line_of(['name'])}",
                         allowed="a name that no other object of its kind has",
                         rule="duplicate-name",
                     )
