--- a/packages/policy/src/laburnumford_policy/choice/_server_state.py
+++ b/packages/policy/src/laburnumford_policy/choice/_server_state.py
@@ -11,8 +11,10 @@
 _SAME_CALL_S = 1e-6  # Rounding of now - latency; calls closer than this count as one.
 _GOOD_NEWS_AGE_S = 0.25  # Older latencies than this are dropped when a lower one arrives.
 _REPORT_AGE_S = 0.05  # Load shifts within tens of ms, so a report loses weight as fast.
+_REPORT_STEP = 0.1  # Nodes that follow a fluctuating report at once all move together.
+_MEDIAN_FACTOR = 1.5  # Mean over median of common service times, with a margin.
 _FAILURE_STEP = 0.3  # Three failures in a row make a server count as failing.
-_SUCCESS_FACTOR = 0.25  # One answer takes a failing server back to ramping.
+_SUCCESS_FACTOR = 0.25  # A server that fails half of its calls keeps a score near 0.3.
 _FAILURE_DECAY_S = 15.0  # Longer than the gap between trials of a node with few calls.
 _FAILURE_WEIGHT = 8.0  # One failure outweighs a full server.
 _OVERDUE_FACTOR = 3.0  # Exceeded by 5% of exponential service times.
@@ -25,7 +27,6 @@
 
     Args:
         server: the candidate.
-        ramp_start: start of the slow start; minus infinity for a warm server.
     """
 
     __slots__ = (
@@ -33,12 +34,14 @@
         "failure_at",
         "failure_value",
         "in_flight",
+        "last_answered_at",
         "last_sent_at",
         "latencies",
         "limit",
         "name",
         "newest_answered_sent",
         "outstanding",
+        "ramp_end",
         "ramp_start",
         "recent_sent",
         "report_at",
@@ -49,9 +52,9 @@
         "unanswered",
     )
 
-    def __init__(self, *, server: candidate.Candidate, ramp_start: float) -> None:
+    def __init__(self, *, server: candidate.Candidate) -> None:
         self.name = server.name
-        self.ramp_start = ramp_start
+        self.ramp_start = self.ramp_end = -math.inf
         self.outstanding = 0
         self.sent_since = 0
         self.in_flight = 0
@@ -62,6 +65,7 @@
         self.failure_value = 0.0
         self.failure_at = -math.inf
         self.last_sent_at = -math.inf
+        self.last_answered_at: float | None = None
         self.newest_answered_sent = -math.inf
         self.latencies: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=_LATENCIES
@@ -116,6 +120,12 @@
             time_s *= 1.0 + _FAILURE_WEIGHT * self.failure_score(now)
         return time_s
 
+    def ramp(self, now: float, length_s: float) -> None:
+        """Begins a slow start, unless a longer one is in progress."""
+        if now + length_s > self.ramp_end:
+            self.ramp_start = now
+            self.ramp_end = now + length_s
+
     def sent(self, now: float) -> None:
         """Records a call that was sent."""
         self.outstanding += 1
@@ -153,7 +163,12 @@
         self.in_flight = report.running + report.queued
         self.limit = float(max(1, report.limit))
         if report.service_time_us > 0:
-            self.reported_service_s = report.service_time_us / 1e6
+            service_s = report.service_time_us / 1e6
+            known = self.reported_service_s
+            if known is None:
+                self.reported_service_s = service_s
+            else:
+                self.reported_service_s = known + _REPORT_STEP * (service_s - known)
         # Calls sent within one round trip cannot be part of the report.
         since = now - self.distance_s
         count = 0
@@ -185,19 +200,21 @@
         if self.failure_value <= 0.0:
             return False
         score = self.failure_score(now)
-        self.failure_value = score * _SUCCESS_FACTOR if score > 0.01 else 0.0
+        failing = score >= FAILING_SCORE
+        # A server that recovers is ramped up, so it needs no further penalty.
+        self.failure_value = 0.0 if failing or score < 0.01 else score * _SUCCESS_FACTOR
         self.failure_at = now
-        return score >= FAILING_SCORE
+        return failing
 
     def _estimate_service(self) -> None:
         """Corrects the reported service time by what calls show.
 
-        The second lowest of the recent latencies bounds it from below, twice their median from
-        above. Both ignore a minority of large calls.
+        The second lowest of the recent latencies bounds it from below, a multiple of their
+        median from above. Both ignore a minority of large calls.
         """
         values = sorted([value for _, value in self.latencies])
         low = values[min(1, len(values) - 1)]
-        high = max(low, 2.0 * values[len(values) // 2])
+        high = max(low, _MEDIAN_FACTOR * values[len(values) // 2])
         if self.reported_service_s is None:
             self.service_s = values[len(values) // 2]
         else:
--- a/packages/policy/src/laburnumford_policy/choice/latency_aware.py
+++ b/packages/policy/src/laburnumford_policy/choice/latency_aware.py
@@ -27,7 +27,7 @@
 _MEAN_STEP = 0.05
 _UNANSWERED_TRIAL_GAP_S = 1.0  # Two outstanding calls already probe a paused server.
 _IDLE_TRIAL_S = 5.0  # A node with few calls also finds a recovered server.
-_IDLE_TRIAL_CALLS = 20
+_IDLE_TRIAL_CALLS = 100  # With 20, a refusing server got 2% of the calls of such a node.
 
 
 @registry.choosers.register("latency_aware")
@@ -94,9 +94,9 @@
         for each in candidates:
             state = self._states_by_name.get(each.name)
             if state is None:
-                state = _server_state.ServerState(
-                    server=each, ramp_start=-math.inf if first else now
-                )
+                state = _server_state.ServerState(server=each)
+                if not first:
+                    state.ramp(now, self._ramp_s)
             else:
                 state.update(each)
             states[each.name] = state
@@ -194,7 +194,7 @@
                 if len(bad) < self._sample_size:
                     bad.append(state)
                 continue
-            if state.ramp_start > now - self._ramp_s and not self._accepts(state, now):
+            if state.ramp_end > now and not self._accepts(state, now):
                 if len(ramping) < self._sample_size:
                     ramping.append(state)
                 continue
@@ -252,7 +252,11 @@
             state.answered(sent_at)
             state.measured(now, latency_s)
             if state.succeeded(now) or overdue:
-                state.ramp_start = now
+                # A short outage leaves a server warm; a long one may have been a restart.
+                last = state.last_answered_at
+                outage_s = math.inf if last is None else now - last
+                state.ramp(now, min(self._ramp_s, outage_s))
+            state.last_answered_at = now
         elif ended is result.Result.REFUSED:
             state.answered(sent_at)
             state.failed(now)
@@ -282,19 +286,19 @@
         return self._overdue(state, now)
 
     def _accepts(self, state: _server_state.ServerState, now: float) -> bool:
-        progress = (now - state.ramp_start) / self._ramp_s
+        progress = (now - state.ramp_start) / (state.ramp_end - state.ramp_start)
         return self._random() < max(_RAMP_FLOOR, progress)
 
     def _usable(self, state: _server_state.ServerState, now: float) -> bool:
         if self._bad(state, now):
             return False
-        return state.ramp_start <= now - self._ramp_s or self._accepts(state, now)
+        return state.ramp_end <= now or self._accepts(state, now)
 
     def _describe(self, state: _server_state.ServerState, now: float) -> str:
         if state.failure_score(now) >= _server_state.FAILING_SCORE:
             return "failing"
         if self._overdue(state, now):
             return "overdue"
-        if state.ramp_start > now - self._ramp_s:
+        if state.ramp_end > now:
             return "ramping"
         return "ok"
