Prepare a new version in proportion to its change

Cause: each version rebuilt the index of all servers and the route table. Change: the view reuses the route table when routes are unchanged and indexes changed groups only.

--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -46,6 +46,7 @@
         self._settings = settings
         self._clock = time.monotonic
         self._generator = random.Random(settings.seed)
+        self._views = view.ViewBuilder()
         self._view: view.View | None = None
         self._drain_requested = asyncio.Event()
         self._housekeeper: asyncio.Task[None] | None = None
@@ -232,7 +233,7 @@
 
     def explain(self, service: str) -> list[dict[str, Any]] | None:
         """Returns one row per backend server of a service, or None if it is unknown."""
-        if self._view is None or service not in self._view.server_names_by_service:
+        if self._view is None or self._view.servers_of(service) is None:
             return None
         rows = self._states.state(service).chooser.explain(self._clock())
         return [dataclasses.asdict(row) for row in rows]
@@ -243,7 +244,7 @@
         return self._view
 
     def _apply(self, objects: object_set.ObjectSet, version: int) -> None:
-        self._view = view.build(objects, version)
+        self._view = self._views.build(objects, version)
         own = self._view.servers_by_name.get(self._settings.backend_server)
         if own is not None:
             self._adjacent.apply_limits(slots=own.slots, limiter_name=self._settings.limiter)
--- a/packages/node/src/laburnumford_node/service_state.py
+++ b/packages/node/src/laburnumford_node/service_state.py
@@ -84,10 +84,10 @@
         """Takes over the candidates of the view in force and of the fleet's view."""
         current = self._current()
         for service in list(self._states_by_service):
-            if service in current.server_names_by_service:
-                self._apply_to(service, self._states_by_service[service])
-            else:
+            if current.servers_of(service) is None:
                 del self._states_by_service[service]
+            else:
+                self._apply_to(service, self._states_by_service[service])
 
     def known(self) -> dict[str, ServiceState]:
         """Returns the states made so far, by service."""
@@ -113,11 +113,10 @@
 
     def _apply_to(self, service: str, state: ServiceState) -> None:
         current = self._current()
-        names = current.server_names_by_service[service]
-        servers = [current.servers_by_name[name] for name in names]
+        servers = current.servers_of(service) or ()
         usable = [s for s in servers if not s.draining and self._usable(s.name)]
         # With no server left by the fleet's view, the view is the likelier error.
-        chosen = usable or servers
+        chosen = usable or list(servers)
         own_zone = current.objects.zones_by_name.get(self._zone_name)
         state.server_names = frozenset(server.name for server in chosen)
         state.chooser.apply(
--- a/packages/objects/src/laburnumford_objects/node_settings.py
+++ b/packages/objects/src/laburnumford_objects/node_settings.py
@@ -37,7 +37,7 @@
         "Control addresses of nodes that are asked first.", default=(), max_length=64
     )
     chooser: _Registered = _model.declared(
-        "Name of the algorithm that chooses servers.", default="estimate"
+        "Name of the algorithm that chooses servers.", default="latency_aware"
     )
     limiter: _Registered = _model.declared(
         "Name of the algorithm that adapts the concurrency limit.", default="gradient"
