Add Cluster, which runs a deployment as real processes

Tests, demo and benches need a platform, backend servers and nodes from a deployment file. Cluster replaces all addresses by free loopback addresses, publishes the set as version 1, writes the settings of the nodes and starts everything; connections can pass fault proxies in the test process.

Not included: tests of calls through nodes. They fail with "unknown chooser 'estimate'": the default of NodeSettings.chooser names no chooser of the policy package, which registers it as latency_aware.

--- a/packages/testkit/src/laburnumford_testkit/processes/__init__.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/__init__.py
@@ -1,5 +1,5 @@
 """Real processes for tests, demo and benches."""
 
-from laburnumford_testkit.processes import addresses, process
+from laburnumford_testkit.processes import addresses, cluster, node_client, process, publisher
 
-__all__ = ["addresses", "process"]
+__all__ = ["addresses", "cluster", "node_client", "process", "publisher"]
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/processes/publisher.py
@@ -0,0 +1,42 @@
+"""Publishes versions of a workspace to a platform stand-in."""
+
+import time
+
+from laburnumford_objects import bundle, object_set, published
+from laburnumford_testkit.judge import versions
+from laburnumford_testkit.platform import client
+
+
+class Publisher:
+    """Keeps the published values and writes each next version.
+
+    Args:
+        platform: client of the platform stand-in.
+        workspace: name of the workspace.
+    """
+
+    def __init__(self, *, platform: client.PlatformClient, workspace: str) -> None:
+        self.publications: list[versions.Publication] = []
+        self._platform = platform
+        self._workspace = workspace
+        self._values: dict[str, bytes] = {}
+        self._published: published.Published | None = None
+
+    @property
+    def version(self) -> int:
+        """The last published version, 0 for none."""
+        return 0 if self._published is None else self._published.version
+
+    async def publish(self, objects: object_set.ObjectSet) -> int:
+        """Publishes `objects` as the next version and returns the version.
+
+        Raises:
+            BundleError: the objects have problems.
+        """
+        values = bundle.bundle(self._published, objects, self.version + 1)
+        self._values.update(values)
+        self._published = bundle.read(self._values, self._workspace)
+        await self._platform.publish(values)
+        publication = versions.Publication(version=self.version, at=time.monotonic())
+        self.publications.append(publication)
+        return self.version
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
@@ -0,0 +1,110 @@
+"""Tests of the cluster helper; those that start nodes run a small deployment."""
+
+import asyncio
+import pathlib
+import time
+
+import pytest
+import pytest_asyncio
+
+from laburnumford_objects import deployment
+from laburnumford_testkit import backend, caller, errors, processes
+
+EXAMPLES = pathlib.Path(__file__).parents[5] / "examples"
+Call = caller.call.Call
+
+
+@pytest.fixture(scope="module")
+def nordvarde():
+    """The example deployment of Nordvarde."""
+    return deployment.load(str(EXAMPLES / "nordvarde.jsonc"))
+
+
+@pytest_asyncio.fixture
+async def start_cluster(nordvarde, tmp_path):
+    """Returns a function that starts a cluster with some services of Nordvarde."""
+    clusters: list[processes.cluster.Cluster] = []
+
+    async def start(*services, **parameters):
+        cluster = processes.cluster.Cluster(
+            objects=nordvarde, folder=tmp_path, services=services, **parameters
+        )
+        clusters.append(cluster)
+        await cluster.start()
+        return cluster
+
+    yield start
+    for cluster in clusters:
+        await cluster.close()
+
+
+def test_addresses_are_replaced_and_references_stay(nordvarde, tmp_path):
+    """Fails if two processes would share an address, or an object of the set gets lost."""
+    cluster = processes.cluster.Cluster(objects=nordvarde, folder=tmp_path)
+    servers = cluster.servers_by_name.values()
+    placed = [
+        address
+        for server in servers
+        for address in (
+            server.address,
+            server.edge_address,
+            server.peer_address,
+            server.control_address,
+        )
+    ]
+    assert len(set(placed)) == 4 * len(servers) == 56
+    assert cluster.objects.routes_by_name == nordvarde.routes_by_name
+    assert {server.name: server.slots for server in servers} == {
+        server.name: server.slots
+        for group in nordvarde.groups_by_name.values()
+        for server in group.backend_servers
+    }
+
+
+def test_services_can_be_selected(nordvarde, tmp_path):
+    """Fails if a reduced deployment keeps routes or groups of services that do not run."""
+    cluster = processes.cluster.Cluster(objects=nordvarde, folder=tmp_path, services=["accounts"])
+    assert set(cluster.servers_by_name) == {"accounts-1", "accounts-2", "accounts-3"}
+    assert set(cluster.objects.routes_by_name) == {"accounts", "statements"}
+
+
+def test_unknown_kind_of_proxy_is_rejected(nordvarde, tmp_path):
+    """Fails if a misspelt kind leaves a test without its proxy."""
+    with pytest.raises(errors.TestkitError, match="proxied has edge"):
+        processes.cluster.Cluster(objects=nordvarde, folder=tmp_path, proxied=frozenset({"edge"}))
+
+
+async def test_published_change_reaches_all_nodes(start_cluster):
+    """Fails if a second version cannot be published, or nodes do not take it in 7 s."""
+    cluster = await start_cluster("accounts")
+    policies = {
+        name: policy.model_copy(update={"queue_limit": 3})
+        for name, policy in cluster.objects.policies_by_name.items()
+    }
+    changed = cluster.objects.model_copy(update={"policies_by_name": policies})
+    assert await cluster.publish(changed) == 2
+    deadline = time.monotonic() + 7
+    while {one.version for one in await cluster.observe_versions()} != {2}:
+        assert time.monotonic() < deadline, processes.cluster.log_tails(cluster)
+        await asyncio.sleep(0.05)
+
+
+async def test_planned_stop_of_a_node_is_recorded(start_cluster):
+    """Fails if the exit of a node is not seen, or another node ends with it."""
+    cluster = await start_cluster("accounts")
+    stop = await cluster.stop_node("accounts-1")
+    assert stop.exit_status == 0, processes.cluster.log_tails(cluster)
+    assert cluster.nodes_by_name["accounts-2"].running
+    assert cluster.stops == [stop]
+
+
+async def test_faults_of_backend_servers_are_set_by_name(start_cluster, pool):
+    """Fails if a fault reaches another server than the named one."""
+    cluster = await start_cluster("accounts")
+    refuse = backend.fault.Fault(kind=backend.fault.FaultKind.REFUSE)
+    await cluster.backend("accounts-2").set_fault(refuse)
+    made = caller.caller.Caller(pool=pool)
+    record = await made.call(Call(), cluster.servers_by_name["accounts-2"].address)
+    assert record.outcome == "refused"
+    record = await made.call(Call(), cluster.servers_by_name["accounts-1"].address)
+    assert record.own is True
