Test faults of platform, network and nodes on loopback

Cause: version order, healing and leaving were tested only with models.

Change: six Fleet objects with the stand-in of the platform: platform down, stale, going back, half a change; partition and heal; restart during spread; leaving; hostile calls; close. A node that becomes a reader with its first version watches at once instead of after a poll interval, which had delayed the first change by up to 7.5 s.

--- a/packages/fleet/src/laburnumford_fleet/platform_reader.py
+++ b/packages/fleet/src/laburnumford_fleet/platform_reader.py
@@ -89,7 +89,8 @@
                     continue
                 await self.read(watch=mode is platform_mode.PlatformMode.WATCH)
                 attempt = 0
-                if mode is platform_mode.PlatformMode.POLL:
+                # The first version may have made this node a reader, which watches without a pause.
+                if mode is self._mode() is platform_mode.PlatformMode.POLL:
                     await asyncio.sleep(_POLL_S * self._generator.uniform(0.5, 1.5))
             except errors.FleetError as error:
                 attempt += 1
--- /dev/null
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_faults.py
@@ -0,0 +1,210 @@
+"""Tests of faults of the platform, the network and the nodes, with several Fleet objects."""
+
+import asyncio
+
+import grpc.aio
+import msgspec
+import pytest
+
+from laburnumford_fleet import channel, errors
+from laburnumford_fleet.bench import _sets
+from laburnumford_fleet.tests import harness
+from laburnumford_objects import bundle
+
+_PREFIX = bundle.key_prefix(_sets.WORKSPACE)
+
+
+@pytest.fixture
+async def cluster(stand_in):
+    """Returns six running nodes in three zones at version 1."""
+    found = harness.Cluster(stand_in, 6)
+    await found.publish()
+    await found.start(*range(6))
+    await harness.until(lambda: found.versions() == {1} and found.connected())
+    yield found
+    await found.stop(*found.fleets)
+
+
+@pytest.fixture
+def split(cluster, monkeypatch):
+    """Returns a function that lets control calls pass only within each of two sides."""
+    side_by_port = dict.fromkeys(cluster.ports, 0)
+    call = channel.Channel.call
+
+    async def faulty_call(self, method, request, *, timeout_s):
+        source = next(
+            index for index, found in cluster.fleets.items() if found._meter is self._counter
+        )
+        target = int(self._address.rpartition(":")[2])
+        if side_by_port[cluster.ports[source]] != side_by_port[target]:
+            await asyncio.sleep(timeout_s)
+            raise errors.PeerError(f"neighbour {self._address}: partition of the test")
+        return await call(self, method, request, timeout_s=timeout_s)
+
+    monkeypatch.setattr(channel.Channel, "call", faulty_call)
+
+    def apply(indexes):
+        for index, port in enumerate(cluster.ports):
+            side_by_port[port] = int(index in indexes)
+
+    return apply
+
+
+def _rejected(cluster, index):
+    return cluster.fleets[index].status()["rejected"]
+
+
+async def test_platform_down_then_back(cluster):
+    """Guards against nodes that give up the version in force, or do not recover a reading."""
+    await cluster.stand_in.set_mode("down")
+    await harness.until(lambda: cluster.fleets[0].status()["platform"]["failed_age_s"] is not None)
+    assert cluster.versions() == {1}
+    # A node that restarts learns the version from its peers alone.
+    await cluster.stop(3)
+    await cluster.start(3)
+    assert cluster.fleets[3].version == 1
+    assert cluster.fleets[3].confirmed
+    await cluster.stand_in.set_mode("ok")
+    await cluster.publish()
+    await harness.until(lambda: cluster.versions() == {2}, 30.0)
+
+
+async def test_stale_platform_does_not_take_a_restarted_node_back(cluster):
+    """Guards against a restarted node that serves an older version than its peers (P7)."""
+    old = dict(cluster.values)
+    await cluster.publish()
+    await harness.until(lambda: cluster.versions() == {2})
+    await cluster.stand_in.publish({f"{_PREFIX}head": old[f"{_PREFIX}head"]})
+    await cluster.stop(4)
+    await cluster.start(4)
+    assert cluster.fleets[4].version == 2
+    assert cluster.versions() == {2}
+    assert all(found == sorted(set(found)) for found in cluster.applied.values())
+    await cluster.publish()
+    await harness.until(lambda: cluster.versions() == {3})
+
+
+async def test_half_a_change_is_applied_nowhere(cluster):
+    """Guards against a change of which the platform shows only the head, or a cut delta."""
+    values = cluster.make()
+    await cluster.stand_in.publish({f"{_PREFIX}head": values[f"{_PREFIX}head"]})
+    await harness.until(lambda: any(_rejected(cluster, index) for index in range(6)))
+    key = f"{_PREFIX}delta/2"
+    await cluster.stand_in.publish({key: values[key][:-2]})
+    await harness.until(
+        lambda: any(
+            "delta/2" not in entry["object"]
+            for index in range(6)
+            for entry in _rejected(cluster, index)
+        ),
+        30.0,
+    )
+    assert cluster.versions() == {1}
+    [entry] = next(filter(None, (_rejected(cluster, index) for index in range(6))))
+    assert (entry["version"], entry["node"]) == (2, "platform")
+    await cluster.stand_in.publish({key: values[key]})
+    await harness.until(lambda: cluster.versions() == {2}, 40.0)
+
+
+async def test_partition_heals_to_the_higher_version(cluster, split):
+    """Guards against sides that stop in a partition, or disagree for long after it."""
+    split({0, 1, 2})
+    await cluster.publish()
+    await harness.until(lambda: cluster.versions() == {2})
+    await cluster.stand_in.set_mode("down")
+    # One node of each side restarts, so the other side must learn of a new incarnation.
+    for index in (2, 5):
+        await cluster.stop(index)
+        await cluster.start(index, seeds=(0, 1) if index == 2 else (3, 4))
+        assert cluster.fleets[index].version == 2
+    split(())
+    took_s = await harness.until(
+        lambda: (
+            cluster.connected()
+            and all(
+                one._view.incarnation(f"server-{index}") in (0, other.incarnation)
+                and one.live(f"server-{index}")
+                for one in cluster.fleets.values()
+                for index, other in cluster.fleets.items()
+            )
+        ),
+        20.0,
+    )
+    assert took_s < 12.0
+
+
+async def test_side_with_the_platform_brings_the_other_up(cluster, split):
+    """Guards against a side that stays behind after healing when it cannot read the platform."""
+    await cluster.stand_in.set_mode("stale")
+    split({0, 1, 2})
+    values = cluster.make()
+    source = cluster.fleets[0]
+    head = values[f"{_PREFIX}head"]
+    source._store.apply_deltas(
+        [values[f"{_PREFIX}delta/2"]],
+        bundle.verify_head(source._store.current, head),
+        node="test",
+    )
+    source._after_apply()
+    await harness.until(lambda: [cluster.fleets[n].version for n in range(6)] == [2] * 3 + [1] * 3)
+    split(())
+    assert await harness.until(lambda: cluster.versions() == {2}, 20.0) < 12.0
+
+
+async def test_restart_during_spread(cluster):
+    """Guards against a change that a restarting node interrupts for others."""
+    stopping = asyncio.create_task(cluster.stop(1))
+    await cluster.publish()
+    await stopping
+    await cluster.start(1)
+    await harness.until(lambda: cluster.versions() == {2} and len(cluster.fleets) == 6)
+
+
+async def test_leaving_node_is_known_at_once(cluster):
+    """Guards against new work for a leaving server after 3 s (P5)."""
+    cluster.fleets[2].leave()
+    await harness.until(
+        lambda: (
+            not any(
+                found.live("server-2") for index, found in cluster.fleets.items() if index != 2
+            )
+        ),
+        3.0,
+    )
+    assert "server-2" in cluster.fleets[0].status()["leaving"]
+
+
+async def test_platform_list_reaches_the_view(cluster):
+    """Guards against a list that is read but not merged."""
+    cluster.stand_in.vms = [
+        {"name": f"server-{index}", "zone": "z", "state": "leaving" if index == 1 else "live"}
+        for index in range(6)
+    ]
+    await harness.until(lambda: not cluster.fleets[0].live("server-1"), 15.0)
+
+
+async def test_hostile_control_calls_are_refused(cluster):
+    """Guards against a peer whose bytes end a task or change the state."""
+    before = cluster.fleets[0].status()
+    async with grpc.aio.insecure_channel(f"127.0.0.1:{cluster.ports[0]}") as hostile:
+        for method in ("Announce", "Exchange", "Fetch"):
+            for data in (b"", b"\xc1", b"\x91" * 9000, msgspec.msgpack.encode(["x", -1])):
+                with pytest.raises(grpc.aio.AioRpcError) as caught:
+                    await hostile.unary_unary(f"/{channel.SERVICE}/{method}")(data, timeout=2.0)
+                assert caught.value.code().name == "INVALID_ARGUMENT"
+        with pytest.raises(grpc.aio.AioRpcError):
+            await hostile.unary_unary(f"/{channel.SERVICE}/Announce")(bytes(2_000_000))
+    assert cluster.fleets[0].status()["version"] == before["version"]
+    await cluster.publish()
+    await harness.until(lambda: cluster.versions() == {2})
+
+
+async def test_close_ends_all_tasks(cluster):
+    """Guards against tasks that outlive their node."""
+    await cluster.stop(*range(6))
+    own = [
+        task
+        for task in asyncio.all_tasks()
+        if task.get_name().startswith(("fleet ", "neighbour "))
+    ]
+    assert own == []
