--- a/packages/testkit/src/laburnumford_testkit/caller/caller.py
+++ b/packages/testkit/src/laburnumford_testkit/caller/caller.py
@@ -178,8 +178,9 @@
         digest.update(block)
         await connection.send(block)
         sent += len(block)
-        if call.body_rate is not None:
-            await asyncio.sleep(max(0.0, started + sent / call.body_rate - time.monotonic()))
+        # Without a wait, a long upload would hold up the other calls of this process.
+        due = 0.0 if call.body_rate is None else started + sent / call.body_rate
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
     return digest.hexdigest()
 
 
--- a/packages/testkit/src/laburnumford_testkit/caller/exchange.py
+++ b/packages/testkit/src/laburnumford_testkit/caller/exchange.py
@@ -37,7 +37,10 @@
         """Sets the status after the header section."""
         self.status = status
         if "x-call-id" in self.headers:
-            self._verifier = content.Verifier(seed=self.headers["x-call-id"])
+            length = self.headers.get("content-length", "")
+            self._verifier = content.Verifier(
+                seed=self.headers["x-call-id"], length=int(length) if length.isdigit() else None
+            )
 
     def feed(self, data: bytes) -> None:
         """Adds bytes of the body."""
--- a/packages/testkit/src/laburnumford_testkit/content.py
+++ b/packages/testkit/src/laburnumford_testkit/content.py
@@ -29,10 +29,13 @@
 
     Args:
         seed: id from which the content is derived.
+        length: length of the content if it is known, so that a short content costs less than
+            a whole block.
     """
 
-    def __init__(self, *, seed: str) -> None:
+    def __init__(self, *, seed: str, length: int | None = None) -> None:
         self._seed = seed
+        self._first_bytes = BLOCK_BYTES if length is None else min(length, BLOCK_BYTES)
         self._index = -1
         self._block = b""
         self._offset = BLOCK_BYTES
@@ -44,7 +47,8 @@
         while self.matches and position < len(data):
             if self._offset == BLOCK_BYTES:
                 self._index += 1
-                self._block = block(self._seed, self._index)
+                bytes_wanted = BLOCK_BYTES if self._index else self._first_bytes
+                self._block = block(self._seed, self._index, bytes_wanted)
                 self._offset = 0
             take = min(BLOCK_BYTES - self._offset, len(data) - position)
             expected = self._block[self._offset : self._offset + take]
--- a/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
@@ -8,10 +8,12 @@
 import pytest_asyncio
 
 from laburnumford_objects import deployment
-from laburnumford_testkit import backend, caller, errors, processes
+from laburnumford_testkit import backend, caller, errors, faultproxy, judge, processes
 
 EXAMPLES = pathlib.Path(__file__).parents[5] / "examples"
 Call = caller.call.Call
+Direction = faultproxy.faults.DirectionFaults
+Faults = faultproxy.faults.Faults
 
 
 @pytest.fixture(scope="module")
@@ -74,6 +76,30 @@
         processes.cluster.Cluster(objects=nordvarde, folder=tmp_path, proxied=frozenset({"edge"}))
 
 
+async def test_calls_through_nodes_are_judged(start_cluster, pool):
+    """Fails if nodes do not start from a published deployment, or logs do not fit together."""
+    cluster = await start_cluster("accounts", "hallmark-issuing")
+    made = caller.caller.Caller(pool=pool)
+    for address in cluster.edge_addresses:
+        lookup = await made.call(Call(path="/accounts/1", timeout_ms=5000), address)
+        booking = await made.call(Call(method="POST", path="/hallmarks", body_bytes=100), address)
+        assert lookup.own is True, processes.cluster.log_tails(cluster)
+        assert booking.own is True, processes.cluster.log_tails(cluster)
+        assert booking.key
+        assert cluster.service_by_server[lookup.server] == "accounts"
+    await cluster.observe_versions()
+    runs = cluster.runs()
+    assert len(runs) == 2 * len(cluster.edge_addresses)
+    evidence = judge.evidence.Evidence(
+        runs=runs,
+        records=tuple(made.records),
+        publications=tuple(cluster.publisher.publications),
+        observations=tuple(cluster.observations),
+    )
+    assert judge.judge.judge(evidence) == ()
+    assert {one.version for one in cluster.observations} == {1}
+
+
 async def test_published_change_reaches_all_nodes(start_cluster):
     """Fails if a second version cannot be published, or nodes do not take it in 7 s."""
     cluster = await start_cluster("accounts")
@@ -98,6 +124,25 @@
     assert cluster.stops == [stop]
 
 
+async def test_proxies_stand_between_node_and_server(start_cluster, pool):
+    """Fails if calls pass beside the proxy, so that faults on it have no effect."""
+    cluster = await start_cluster("accounts", proxied=processes.cluster.PROXIED)
+    made = caller.caller.Caller(pool=pool)
+    call = Call(path="/accounts/1", timeout_ms=5000)
+    record = await made.call(call, cluster.edge_address("accounts-1"))
+    assert record.own is True, processes.cluster.log_tails(cluster)
+    proxy = cluster.proxies_by_name["backend", record.server]
+    assert proxy.connections > 0
+    assert cluster.proxies_by_name["platform", "accounts-1"].connections > 0
+    for name in cluster.servers_by_name:
+        cluster.proxies_by_name["backend", name].set_faults(
+            Faults(to_caller=Direction(delay_s=0.2))
+        )
+    begin = time.monotonic()
+    await made.call(call, cluster.edge_address("accounts-1"))
+    assert time.monotonic() - begin > 0.2
+
+
 async def test_faults_of_backend_servers_are_set_by_name(start_cluster, pool):
     """Fails if a fault reaches another server than the named one."""
     cluster = await start_cluster("accounts")
