Add the bench of the path and the registry of benches

The latency that nodes add has a target, and its changes must show. The bench `path` interleaves direct calls and calls through one and two nodes in one open-loop load of 150 calls/s each, takes added p50 and p99 against the direct call, the spread over repetitions, the processor time of the nodes per call, and memory and processor time of an idle node. Other benches register by decorator.

--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/bench/__init__.py
@@ -0,0 +1,5 @@
+"""Benches: each measures real processes and prints JSON lines."""
+
+from laburnumford_testkit.bench import bench, figure, path
+
+__all__ = ["bench", "figure", "path"]
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/bench/bench.py
@@ -0,0 +1,35 @@
+"""Registry of benches."""
+
+import pathlib
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from laburnumford_objects import registry
+from laburnumford_testkit.bench import figure
+
+
+class Bench(Protocol):
+    """Measures something; created with the keyword arguments of `Options`."""
+
+    def run(self) -> AsyncIterator[figure.Figure]:
+        """Yields the figures as they are measured."""
+
+
+class Options:
+    """What every bench takes.
+
+    Args:
+        seed: seed of load and processes.
+        folder: existing folder for logs.
+        samples: wanted number of samples per figure.
+        repetitions: number of repetitions over which the samples are spread.
+    """
+
+    def __init__(self, *, seed: int, folder: pathlib.Path, samples: int, repetitions: int) -> None:
+        self.seed = seed
+        self.folder = folder
+        self.samples = samples
+        self.repetitions = repetitions
+
+
+benches: registry.Registry[Bench] = registry.Registry("bench")
