Add the demo

One command should show both example deployments at work. The demo starts every process of a deployment, applies lookups, bookings with tickets, uploads and statements, publishes a version half way, and prints one table per deployment and the findings of the judge. It ends with status 1 if an invariant is violated, a kind of calls is answered below 95%, or no node has the last version.

--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/demo/deployment_run.py
@@ -0,0 +1,228 @@
+"""Runs one deployment under load and judges it."""
+
+import asyncio
+import collections
+import contextlib
+import pathlib
+import time
+from collections.abc import Callable
+
+from laburnumford_objects import deployment, object_set
+from laburnumford_testkit import errors
+from laburnumford_testkit.caller import caller as caller_module
+from laburnumford_testkit.caller import load, pool, record, summary
+from laburnumford_testkit.demo import outcome as outcome_module
+from laburnumford_testkit.demo import scenario as scenario_module
+from laburnumford_testkit.judge import evidence, finding, judge
+from laburnumford_testkit.judge import measuring as measuring_module
+from laburnumford_testkit.processes import cluster as cluster_module
+
+_OBSERVE_S = 0.5
+_MIN_ANSWERED_SHARE = 0.95
+"""Share of each kind of calls that must be answered when no fault is injected; the rest leaves
+room for refusals of short deadlines on a busy machine."""
+
+
+async def run(
+    scenario: scenario_module.Scenario,
+    *,
+    path: pathlib.Path,
+    folder: pathlib.Path,
+    seed: int,
+    duration_s: float,
+    progress: Callable[[str], None],
+) -> outcome_module.Outcome:
+    """Starts the processes, applies the load, publishes a change half way and judges the logs.
+
+    Args:
+        scenario: what to run.
+        path: deployment file.
+        folder: existing folder for logs.
+        seed: seed of load and processes.
+        duration_s: length of the load.
+        progress: gets short lines about what happens.
+    """
+    objects = deployment.load(str(path))
+    cluster = cluster_module.Cluster(
+        objects=objects,
+        folder=folder,
+        seed=seed,
+        backend_arguments_by_service=scenario.backend_arguments_by_service,
+    )
+    connections = pool.Pool()
+    made = caller_module.Caller(pool=connections)
+    progress(f"{scenario.title}: starting {2 * len(cluster.servers_by_name) + 1} processes")
+    async with cluster:
+        progress(f"{scenario.title}: load of {scenario.rate_per_s:g} calls/s for {duration_s:g} s")
+        began = time.monotonic()
+        observing = asyncio.create_task(_observe(cluster))
+        changing = asyncio.create_task(_change(cluster, duration_s / 2, progress))
+        try:
+            skipped = await load.run(
+                load.Load(
+                    calls=scenario.calls,
+                    addresses=cluster.edge_addresses,
+                    rate_per_s=scenario.rate_per_s,
+                    duration_s=duration_s,
+                    seed=seed,
+                ),
+                made,
+            )
+            await changing
+        finally:
+            for task in (observing, changing):
+                task.cancel()
+            await asyncio.gather(observing, changing, return_exceptions=True)
+            connections.close()
+        measured_s = time.monotonic() - began
+        await cluster.observe_versions()
+        measuring = await _measuring(cluster)
+        seen = evidence.Evidence(
+            runs=cluster.runs(),
+            records=tuple(made.records),
+            measuring=measuring,
+            publications=tuple(cluster.publisher.publications),
+            observations=tuple(cluster.observations),
+        )
+    progress(f"{scenario.title}: judging {len(made.records)} requests and {len(seen.runs)} runs")
+    findings = judge.judge(seen)
+    kinds = _kinds(scenario, cluster, seen)
+    failures = _failures(kinds, skipped, cluster)
+    return outcome_module.Outcome(
+        title=scenario.title,
+        kinds=kinds,
+        measuring=_costs(cluster, measuring, measured_s),
+        findings=_without_repetition(findings),
+        failures=failures,
+    )
+
+
+async def _observe(cluster: cluster_module.Cluster) -> None:
+    while True:
+        await cluster.observe_versions()
+        await asyncio.sleep(_OBSERVE_S)
+
+
+async def _change(
+    cluster: cluster_module.Cluster, after_s: float, progress: Callable[[str], None]
+) -> None:
+    """Publishes a new version while calls are in flight."""
+    await asyncio.sleep(after_s)
+    policies = {
+        name: policy.model_copy(update={"queue_limit": policy.queue_limit + 1})
+        for name, policy in cluster.objects.policies_by_name.items()
+    }
+    version = await cluster.publish(
+        cluster.objects.model_copy(update={"policies_by_name": policies})
+    )
+    progress(f"published version {version}")
+    began = time.monotonic()
+    while time.monotonic() < began + 7.0:
+        seen = await cluster.observe_versions()
+        if len(seen) == len(cluster.nodes_by_name) and all(one.version >= version for one in seen):
+            progress(f"version {version} in force everywhere after {_ms(began)} ms")
+            return
+        await asyncio.sleep(0.02)
+
+
+def _ms(began: float) -> str:
+    return f"{1000 * (time.monotonic() - began):.0f}"
+
+
+async def _measuring(cluster: cluster_module.Cluster) -> tuple[measuring_module.Measuring, ...]:
+    """Returns the measuring requests that each backend server has counted."""
+    found = []
+    for name in cluster.servers_by_name:
+        with contextlib.suppress(errors.TestkitError):
+            budget = _budget(cluster.objects, cluster.service_by_server[name])
+            found.append(
+                measuring_module.Measuring(
+                    server=name,
+                    probes=await cluster.backend(name).measuring(),
+                    calls_per_s=budget[0],
+                    bytes_per_s=budget[1],
+                )
+            )
+    return tuple(found)
+
+
+def _budget(objects: object_set.ObjectSet, service: str) -> tuple[float, float]:
+    """Returns the measuring budget of a service as calls and bytes per second."""
+    policy = objects.policies_by_name[objects.services_by_name[service].policy]
+    while policy.extends is not None and "measuring" not in policy.model_fields_set:
+        policy = objects.policies_by_name[policy.extends]
+    return policy.measuring.calls_per_s, policy.measuring.bytes_per_s
+
+
+def _kinds(
+    scenario: scenario_module.Scenario,
+    cluster: cluster_module.Cluster,
+    seen: evidence.Evidence,
+) -> tuple[outcome_module.KindOutcome, ...]:
+    records_by_kind: dict[str, list[record.Record]] = collections.defaultdict(list)
+    for one in seen.records:
+        records_by_kind[one.kind].append(one)
+    runs_by_key = collections.Counter(run.key for run in seen.runs if run.key)
+    found = []
+    for call in scenario.calls:
+        records = records_by_kind[call.kind]
+        servers = {one.server for one in records} & cluster.service_by_server.keys()
+        services = {cluster.service_by_server[server] for server in servers}
+        keys = {one.key for one in records if one.key}
+        found.append(
+            outcome_module.KindOutcome(
+                kind=call.kind,
+                service=", ".join(sorted(services)) or "-",
+                summary=summary.summarise(records),
+                duplicate_runs=sum(max(0, runs_by_key[key] - 1) for key in keys),
+            )
+        )
+    return tuple(found)
+
+
+def _failures(
+    kinds: tuple[outcome_module.KindOutcome, ...],
+    skipped: int,
+    cluster: cluster_module.Cluster,
+) -> tuple[str, ...]:
+    failures = []
+    if skipped:
+        failures.append(f"{skipped} calls were not started because too many were in flight")
+    for kind in kinds:
+        answered, calls = kind.summary.answered, kind.summary.calls
+        if answered < _MIN_ANSWERED_SHARE * max(1, calls):
+            failures.append(
+                f"{kind.kind}: {answered} of {calls} calls were answered; "
+                f"expected at least {_MIN_ANSWERED_SHARE:.0%}"
+            )
+    running = sorted({one.version for one in cluster.observations if one.version > 0})
+    if running[-1:] != [cluster.publisher.version]:
+        failures.append(f"no node has version {cluster.publisher.version}; seen: {running}")
+    return tuple(failures)
+
+
+def _costs(
+    cluster: cluster_module.Cluster,
+    measuring: tuple[measuring_module.Measuring, ...],
+    measured_s: float,
+) -> tuple[outcome_module.MeasuringOutcome, ...]:
+    found = []
+    for service in cluster.objects.services_by_name:
+        of_service = [one for one in measuring if cluster.service_by_server[one.server] == service]
+        seconds = max(1, len(of_service)) * measured_s
+        probes = [probe for one in of_service for probe in one.probes]
+        allowed_calls, allowed_bytes = _budget(cluster.objects, service)
+        found.append(
+            outcome_module.MeasuringOutcome(
+                service=service,
+                calls_per_s=len(probes) / seconds,
+                bytes_per_s=sum(size for _, size in probes) / seconds,
+                allowed_calls_per_s=allowed_calls,
+                allowed_bytes_per_s=allowed_bytes,
+            )
+        )
+    return tuple(found)
+
+
+def _without_repetition(found: tuple[finding.Finding, ...]) -> tuple[finding.Finding, ...]:
+    return tuple(dict.fromkeys(found))
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/demo/scenario.py
@@ -0,0 +1,110 @@
+"""What the demo runs for each deployment."""
+
+import dataclasses
+
+from laburnumford_testkit.caller import call
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """Load on one deployment.
+
+    Attributes:
+        title: heading of the table.
+        file: name of the deployment file.
+        rate_per_s: mean arrivals per second over all nodes.
+        calls: mix of calls; the kind of a call is the name of its service and what it does.
+        backend_arguments_by_service: arguments of the backend stand-ins.
+    """
+
+    title: str
+    file: str
+    rate_per_s: float
+    calls: tuple[call.Call, ...]
+    backend_arguments_by_service: dict[str, tuple[str, ...]]
+
+
+def _times(milliseconds: float) -> tuple[str, ...]:
+    return ("--service-ms", str(milliseconds), "--distribution", "lognormal")
+
+
+SCENARIOS = (
+    Scenario(
+        title="Nordvarde Assay Franchise",
+        file="nordvarde.jsonc",
+        rate_per_s=150.0,
+        calls=(
+            call.Call(kind="certificate lookups", path="/assay-results/bars/7", share=50),
+            call.Call(kind="fineness lookups", path="/fineness/7", share=20),
+            call.Call(
+                kind="bookings",
+                method="POST",
+                path="/hallmarks",
+                share=20,
+                body_bytes=400,
+                timeout_ms=3000,
+            ),
+            call.Call(
+                kind="uploads",
+                method="POST",
+                path="/lab-files/xrf",
+                share=3,
+                body_bytes=3_000_000,
+                timeout_ms=20_000,
+            ),
+            call.Call(
+                kind="statements",
+                path="/accounts/statements/5",
+                share=7,
+                answer_bytes=60_000,
+                chunked_answer=True,
+                timeout_ms=20_000,
+            ),
+        ),
+        backend_arguments_by_service={
+            "assay-results": _times(4),
+            "hallmark-issuing": _times(8),
+            "lab-files": _times(20),
+            "accounts": _times(30),
+        },
+    ),
+    Scenario(
+        title="Cyclone Shelf Logistics",
+        file="cyclone.jsonc",
+        rate_per_s=120.0,
+        calls=(
+            call.Call(kind="stock lookups", path="/stock/shelves/7", share=50),
+            call.Call(kind="route checks", path="/routing/trucks/7", share=20),
+            call.Call(
+                kind="pallet releases",
+                method="POST",
+                path="/releases",
+                share=20,
+                body_bytes=300,
+                timeout_ms=5000,
+            ),
+            call.Call(
+                kind="photo uploads",
+                method="POST",
+                path="/field-intake/photos",
+                share=3,
+                body_bytes=2_000_000,
+                body_rate=4_000_000,
+                timeout_ms=20_000,
+            ),
+            call.Call(
+                kind="statements",
+                path="/stock/statements/5",
+                share=7,
+                answer_bytes=60_000,
+                timeout_ms=20_000,
+            ),
+        ),
+        backend_arguments_by_service={
+            "stock-view": _times(4),
+            "pallet-release": _times(8),
+            "field-intake": _times(20),
+            "routing": _times(5),
+        },
+    ),
+)
