Bound the amplification of 18 levels of resends

Cause: a share of a tenth at each of 18 levels multiplies to 5.6 calls at the deepest level when every server fails after its call. HedgePolicy checks its parameter.

--- a/packages/policy/src/laburnumford_policy/retry/hedge_policy.py
+++ b/packages/policy/src/laburnumford_policy/retry/hedge_policy.py
@@ -1,5 +1,6 @@
 """Decision whether a second attempt is started beside the first."""
 
+from laburnumford_policy.admission import parameters
 from laburnumford_policy.retry import call_facts, cause, decision, retry_budget
 
 
@@ -9,9 +10,15 @@
     Args:
         budget: budget of the service, shared with its `RetryPolicy`.
         max_resends: resends of one call over all levels; a hedge counts as one.
+
+    Raises:
+        ParameterError: a parameter lies outside its range.
     """
 
+    _TABLE = {"max_resends": parameters.Range(lowest=0, highest=10, whole=True)}
+
     def __init__(self, *, budget: retry_budget.RetryBudget, max_resends: int = 2) -> None:
+        parameters.check("hedge policy", self._TABLE, {"max_resends": max_resends})
         self._budget = budget
         self._max_resends = max_resends
 
--- a/packages/policy/src/laburnumford_policy/retry/retry_budget.py
+++ b/packages/policy/src/laburnumford_policy/retry/retry_budget.py
@@ -21,7 +21,8 @@
 
     Args:
         share: additional attempts as a share of calls; 0 allows none.
-        minimum_per_s: attempts a second that are allowed at any call rate.
+        minimum_per_s: attempts a second that are allowed if the share of the calls is less;
+            half of them may repeat work.
         burst: tokens that can be saved up.
 
     Raises:
@@ -44,7 +45,7 @@
         )
         self._enabled = share > 0.0
         self._all = _bucket.Bucket(share=share, rate_per_s=minimum_per_s, burst=burst)
-        self._repeats = _bucket.Bucket(share=share / 2, rate_per_s=minimum_per_s, burst=burst)
+        self._repeats = _bucket.Bucket(share=share / 2, rate_per_s=minimum_per_s / 2, burst=burst)
         # A minimum rate here would break the bound for services with few calls.
         self._deep_repeats = _bucket.Bucket(share=deep_share(share), rate_per_s=0.0, burst=burst)
         self._admitted_by_cause = dict.fromkeys(cause.Cause, 0)
@@ -53,8 +54,7 @@
     def observe_call(self, now: float) -> None:
         """Counts one call, once and not for its resends."""
         for bucket in (self._all, self._repeats, self._deep_repeats):
-            bucket.earn_time(now)
-            bucket.earn_call()
+            bucket.earn_call(now)
 
     def admit(
         self, cause: cause.Cause, now: float, *, repeats_work: bool = False, depth: int = 0
