--- a/packages/policy/src/laburnumford_policy/once/__init__.py
+++ b/packages/policy/src/laburnumford_policy/once/__init__.py
@@ -9,4 +9,14 @@
     ticket_book,
 )
 
-__all__ = ["begin_result", "begin_state", "errors", "kept_answer", "ticket", "ticket_book"]
+__all__ = [
+    "attempt_guard",
+    "begin_result",
+    "begin_state",
+    "errors",
+    "guard_verdict",
+    "kept_answer",
+    "pause_detector",
+    "ticket",
+    "ticket_book",
+]
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/once/pause_detector.py
@@ -0,0 +1,28 @@
+"""Detection of pauses of the process."""
+
+from laburnumford_policy.admission import parameters
+
+
+class PauseDetector:
+    """Detects gaps in a regular tick.
+
+    Args:
+        threshold_s: shortest gap that counts as a pause, in seconds. Several times the
+            interval of the tick, as a busy event loop delays ticks too.
+
+    Raises:
+        ParameterError: the threshold is not positive.
+    """
+
+    _TABLE = {"threshold_s": parameters.Range(lowest=1e-6)}
+
+    def __init__(self, *, threshold_s: float) -> None:
+        parameters.check("pause detector", self._TABLE, {"threshold_s": threshold_s})
+        self._threshold_s = threshold_s
+        self._last: float | None = None
+
+    def observe(self, now: float) -> float:
+        """Takes a tick and returns the length of the pause before it in seconds, or 0."""
+        gap_s = 0.0 if self._last is None else now - self._last
+        self._last = now
+        return gap_s if gap_s >= self._threshold_s else 0.0
