--- a/packages/node/src/laburnumford_node/peer.py
+++ b/packages/node/src/laburnumford_node/peer.py
@@ -17,6 +17,7 @@
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields, request, server_connection
+from laburnumford_policy.once import attempt_guard, guard_verdict
 
 _NONCE_BYTES = 12
 _MAX_TIMEOUT_MS = 24 * 3600 * 1000
@@ -89,11 +90,12 @@
             span.end()
 
     def _greet(self, connection: server_connection.ServerConnection) -> None:
-        nonce = secrets.token_hex(_NONCE_BYTES).encode()
-        connection.context["nonce"] = nonce
-        connection.context["hello_s"] = self._clock()
+        nonce = secrets.token_hex(_NONCE_BYTES)
+        connection.context["guard"] = attempt_guard.AttemptGuard(
+            nonce=nonce, hello_at=self._clock()
+        )
         head = [
-            (header_names.CONNECTION, nonce),
+            (header_names.CONNECTION, nonce.encode()),
             (header_names.NODE, self._node.encode()),
             (header_names.INCARNATION, self._incarnation.encode()),
         ]
@@ -108,22 +110,29 @@
             RefusedError: the request was written for another connection, or its
                 time has passed on the way.
         """
-        nonce = connection.context.get("nonce")
-        if nonce is None or fields.get(received.fields, header_names.CONNECTION) != nonce:
-            self.stale_connections += 1
-            raise errors.RefusedError(
-                reason.Reason.STALE_CONNECTION, "the request was written for another connection"
-            )
-        sent_ms = _milliseconds(received, header_names.SENT_MS)
-        timeout_ms = _milliseconds(received, header_names.TIMEOUT_MS)
+        guard: attempt_guard.AttemptGuard | None = connection.context.get("guard")
+        if guard is None:
+            raise self._stale()
         now = self._clock()
-        sent_s = connection.context["hello_s"] + sent_ms / 1000
-        deadline_s = min(sent_s, now) + timeout_ms / 1000
-        if deadline_s <= now:
+        verdict = guard.check(
+            (fields.get(received.fields, header_names.CONNECTION) or b"").decode("latin-1"),
+            _milliseconds(received, header_names.SENT_MS),
+            _milliseconds(received, header_names.TIMEOUT_MS),
+            now,
+        )
+        if verdict.outcome is guard_verdict.GuardOutcome.STALE_CONNECTION:
+            raise self._stale()
+        if verdict.outcome is guard_verdict.GuardOutcome.DEADLINE_EXCEEDED:
             raise errors.RefusedError(
                 reason.Reason.DEADLINE, "the deadline passed before the request was admitted"
             )
-        return float(deadline_s)
+        return now + verdict.remaining_s
+
+    def _stale(self) -> errors.RefusedError:
+        self.stale_connections += 1
+        return errors.RefusedError(
+            reason.Reason.STALE_CONNECTION, "the request was written for another connection"
+        )
 
     async def _run(
         self,
--- a/packages/testkit/src/laburnumford_testkit/faultproxy/_pipe.py
+++ b/packages/testkit/src/laburnumford_testkit/faultproxy/_pipe.py
@@ -82,8 +82,11 @@
                     # The end of the stream is lost as well.
                     self._lost_bytes = True
                     return
-                if self._writer.can_write_eof():
+                try:
                     self._writer.write_eof()
+                except OSError as error:
+                    # The receiver has reset the connection in the meantime.
+                    raise CutError(reset=True) from error
                 return
             await self._deliver(data)
 
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system with real processes."""
