Test planned stops and leaving servers with real processes

Change: system tests for a rolling replacement under load with slow uploads, a draining server, a VM listed as leaving, and a published drain.

--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/system/test_leaving.py
@@ -0,0 +1,152 @@
+"""Tests that planned stops cut nothing and that leaving servers get no new work."""
+
+import asyncio
+import time
+
+from laburnumford_testkit.caller import call, load
+from laburnumford_testkit.judge import evidence, judge, leave
+
+_SEED = 3
+_LEAVE_ALLOWANCE_S = 3.0
+
+
+def _calls(*, upload_bytes=0, upload_rate=None):
+    calls = [
+        call.Call(kind="lookup", path="/assay-results/1", share=8.0, timeout_ms=2000),
+        call.Call(
+            kind="booking", method="POST", path="/hallmarks/1", body_bytes=300, timeout_ms=2000
+        ),
+    ]
+    if upload_bytes:
+        calls.append(
+            call.Call(
+                kind="upload",
+                method="POST",
+                path="/lab-files/1",
+                body_bytes=upload_bytes,
+                body_rate=upload_rate,
+                timeout_ms=60_000,
+                share=0.3,
+            )
+        )
+    return calls
+
+
+async def _load(running, caller, addresses, *, duration_s, rate_per_s=200.0, **parameters):
+    await load.run(
+        load.Load(
+            calls=_calls(**parameters),
+            addresses=addresses,
+            rate_per_s=rate_per_s,
+            duration_s=duration_s,
+            seed=_SEED,
+        ),
+        caller,
+    )
+
+
+def _judge(running, caller, leaves=()):
+    return judge.judge(
+        evidence.Evidence(
+            records=tuple(caller.records),
+            runs=running.runs(),
+            stops=tuple(running.stops),
+            leaves=tuple(leaves),
+        )
+    )
+
+
+async def test_rolling_replacement_of_all_nodes_loses_nothing(run_cluster, make_caller):
+    """Guards against a planned stop that cuts a call or runs it twice.
+
+    Callers use the nodes that are not being replaced as entry; calls through them to
+    the servers of leaving nodes, and uploads in flight, must end.
+    """
+    caller = make_caller()
+    async with run_cluster(
+        services=["assay-results", "hallmark-issuing", "lab-files"], seed=_SEED
+    ) as running:
+        names = sorted(running.nodes_by_name)
+        entries = [running.edge_address(name) for name in names]
+        loading = asyncio.create_task(
+            _load(
+                running,
+                caller,
+                entries,
+                duration_s=2.2 * len(names),
+                upload_bytes=400_000,
+                upload_rate=300_000.0,
+            )
+        )
+        for name in names:
+            await running.stop_node(name)
+            await running.nodes_by_name[name].start()
+        await loading
+        assert _judge(running, caller) == ()
+    broken = [r for r in caller.records if r.error and "connect" not in r.error]
+    assert broken == []
+
+
+async def test_draining_server_gets_no_new_work(run_cluster, make_caller):
+    """Guards against work for a server that has said that it drains."""
+    caller = make_caller()
+    async with run_cluster(services=["assay-results"], seed=_SEED) as running:
+        name = sorted(running.backends_by_name)[0]
+        loading = asyncio.create_task(
+            _load(running, caller, running.edge_addresses, duration_s=6.0)
+        )
+        await asyncio.sleep(1.0)
+        began = time.monotonic()
+        await running.backend(name).set_draining(True)
+        await loading
+        leaves = [leave.Leave(server=name, at=began, allowance_s=_LEAVE_ALLOWANCE_S)]
+        assert _judge(running, caller, leaves) == ()
+
+
+async def test_server_listed_as_leaving_gets_no_new_work(run_cluster, make_caller):
+    """Guards against work for a VM that the platform's list shows as leaving."""
+    caller = make_caller()
+    async with run_cluster(services=["assay-results"], seed=_SEED) as running:
+        name = sorted(running.backends_by_name)[0]
+        loading = asyncio.create_task(
+            _load(running, caller, running.edge_addresses, duration_s=14.0, rate_per_s=100.0)
+        )
+        await asyncio.sleep(1.0)
+        await running.set_vm_states({name: "leaving"})
+        async with asyncio.timeout(10):
+            while not (await running.node(name).status())["server"]["draining"]:
+                await asyncio.sleep(0.05)
+        # The list is read every few seconds; the allowance counts from the reading.
+        began = time.monotonic()
+        await loading
+        leaves = [leave.Leave(server=name, at=began, allowance_s=_LEAVE_ALLOWANCE_S)]
+        assert _judge(running, caller, leaves) == ()
+
+
+async def test_published_draining_takes_the_server_out(run_cluster, make_caller):
+    """Guards against a published change that does not reach the choice."""
+    caller = make_caller()
+    async with run_cluster(services=["assay-results"], seed=_SEED) as running:
+        name = sorted(running.backends_by_name)[0]
+        loading = asyncio.create_task(
+            _load(running, caller, running.edge_addresses, duration_s=7.0)
+        )
+        await asyncio.sleep(1.0)
+        group = running.objects.groups_by_name["assay-results"]
+        servers = tuple(
+            server.model_copy(update={"draining": server.name == name})
+            for server in group.backend_servers
+        )
+        changed = running.objects.model_copy(
+            update={
+                "groups_by_name": {
+                    **running.objects.groups_by_name,
+                    group.name: group.model_copy(update={"backend_servers": servers}),
+                }
+            }
+        )
+        began = time.monotonic()
+        await running.publish(changed)
+        await loading
+        leaves = [leave.Leave(server=name, at=began, allowance_s=_LEAVE_ALLOWANCE_S)]
+        assert _judge(running, caller, leaves) == ()
