--- a/packages/policy/src/laburnumford_policy/choice/_server_state.py
+++ b/packages/policy/src/laburnumford_policy/choice/_server_state.py
@@ -19,7 +19,7 @@
 _FAILURE_WEIGHT = 8.0  # One failure outweighs a full server.
 _OVERDUE_FACTOR = 3.0  # Exceeded by 5% of exponential service times.
 _OVERDUE_FLOOR_S = 0.01  # Scheduling noise of a busy VM.
-FAILING_SCORE = 0.5
+_FAILING_SCORE = 0.5
 
 
 class ServerState:
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "distance_s",
+        "failing_until",
         "failure_at",
         "failure_value",
         "in_flight",
@@ -38,9 +39,11 @@
         "last_sent_at",
         "latencies",
         "limit",
+        "measured_at_call",
         "name",
         "newest_answered_sent",
         "outstanding",
+        "overdue_at",
         "ramp_end",
         "ramp_start",
         "recent_sent",
@@ -63,8 +66,10 @@
         self.service_s: float | None = None
         self.limit = float(max(1, server.slots))
         self.failure_value = 0.0
-        self.failure_at = -math.inf
+        self.failure_at = self.failing_until = -math.inf
         self.last_sent_at = -math.inf
+        self.overdue_at = math.inf
+        self.measured_at_call = 0
         self.last_answered_at: float | None = None
         self.newest_answered_sent = -math.inf
         self.latencies: collections.deque[tuple[float, float]] = collections.deque(
@@ -87,14 +92,21 @@
             return 0.0
         return self.failure_value * math.exp((self.failure_at - now) / _FAILURE_DECAY_S)
 
-    def overdue(self, now: float, service_s: float | None) -> bool:
-        """Returns whether calls are outstanding for longer than expected, without an answer."""
+    def expect(self, service_s: float | None) -> None:
+        """Sets the time at which the outstanding calls are overdue.
+
+        Called after each change of the unanswered calls, because a choice may look at the result
+        for every server.
+
+        Args:
+            service_s: service time to assume for this server, in seconds; None if unknown.
+        """
         if not self.unanswered or service_s is None:
-            return False
-        waited = now - self.unanswered[0]
+            self.overdue_at = math.inf
+            return
         queue_factor = max(1.0, self.in_flight / self.limit)
         expected = self.distance_s + service_s * queue_factor * _OVERDUE_FACTOR
-        return waited > expected + _OVERDUE_FLOOR_S
+        self.overdue_at = self.unanswered[0] + expected + _OVERDUE_FLOOR_S
 
     def load(self, now: float, mean_load: float) -> float:
         """Returns the estimated calls in flight at the server.
@@ -178,8 +190,12 @@
             count += 1
         self.sent_since = min(count, self.outstanding)
 
-    def measured(self, now: float, latency_s: float) -> None:
-        """Takes over the latency of an answered call, without network and queue."""
+    def measured(self, now: float, latency_s: float) -> float:
+        """Takes over the latency of an answered call, without network and queue.
+
+        Returns:
+            The new estimate of the service time in seconds.
+        """
         queue_factor = max(1.0, self.in_flight / self.limit)
         value = max(0.0, latency_s - self.distance_s) / queue_factor
         latencies = self.latencies
@@ -187,26 +203,31 @@
             while latencies and latencies[0][0] < now - _GOOD_NEWS_AGE_S:
                 latencies.popleft()
         latencies.append((now, value))
-        self._estimate_service()
+        self.service_s = self._estimate_service()
+        return self.service_s
 
     def failed(self, now: float) -> None:
         """Raises the failure score."""
         score = self.failure_score(now)
         self.failure_value = score + (1.0 - score) * _FAILURE_STEP
         self.failure_at = now
+        # Kept as a time because a choice may look at every server that fails.
+        above = math.log(self.failure_value / _FAILING_SCORE)
+        self.failing_until = now + _FAILURE_DECAY_S * above
 
     def succeeded(self, now: float) -> bool:
         """Lowers the failure score and returns whether the server was failing."""
         if self.failure_value <= 0.0:
             return False
         score = self.failure_score(now)
-        failing = score >= FAILING_SCORE
+        failing = now < self.failing_until
         # A server that recovers is ramped up, so it needs no further penalty.
+        self.failing_until = -math.inf
         self.failure_value = 0.0 if failing or score < 0.01 else score * _SUCCESS_FACTOR
         self.failure_at = now
         return failing
 
-    def _estimate_service(self) -> None:
+    def _estimate_service(self) -> float:
         """Corrects the reported service time by what calls show.
 
         The second lowest of the recent latencies bounds it from below, a multiple of their
@@ -216,6 +237,5 @@
         low = values[min(1, len(values) - 1)]
         high = max(low, _MEDIAN_FACTOR * values[len(values) // 2])
         if self.reported_service_s is None:
-            self.service_s = values[len(values) // 2]
-        else:
-            self.service_s = min(max(self.reported_service_s, low), high)
+            return values[len(values) // 2]
+        return min(max(self.reported_service_s, low), high)
