Add the measuring budget and the probe schedule

Change: MeasuringBudget with one token bucket for each resource, whose burst and refill of one second add up to the rate and which starts empty; ProbeSchedule, which asks for a probe only after a gap without calls, with jitter; the public list of the package.

--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/measuring/__init__.py
@@ -0,0 +1,14 @@
+"""Bounds on the cost of measuring a backend server."""
+
+from laburnumford_policy.measuring.cost import Cost
+from laburnumford_policy.measuring.errors import MeasuringError, MeasuringParameterError
+from laburnumford_policy.measuring.measuring_budget import MeasuringBudget
+from laburnumford_policy.measuring.probe_schedule import ProbeSchedule
+
+__all__ = [
+    "Cost",
+    "MeasuringBudget",
+    "MeasuringError",
+    "MeasuringParameterError",
+    "ProbeSchedule",
+]
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/measuring/_token_bucket.py
@@ -0,0 +1,45 @@
+"""Token bucket for one resource."""
+
+
+class TokenBucket:
+    """Grants at most `rate` units in any second.
+
+    The capacity and what is refilled in one second add up to the rate. The bucket starts empty, so
+    that a process that restarts again and again grants no more than one that keeps running.
+
+    Args:
+        rate: units per second.
+        burst_share: share of the rate that is the capacity.
+        unit: smallest useful capacity. A bucket that would hold less than one unit holds one and
+            refills at the full rate, so single units are granted at least 1 / rate apart.
+    """
+
+    __slots__ = ("_capacity", "_refill_per_s", "_refilled_at", "_tokens", "rate")
+
+    def __init__(self, *, rate: float, burst_share: float, unit: float = 0.0) -> None:
+        self.rate = rate
+        if rate * burst_share >= unit:
+            self._capacity = rate * burst_share
+            self._refill_per_s = rate * (1.0 - burst_share)
+        else:
+            self._capacity = unit
+            self._refill_per_s = rate
+        self._tokens = 0.0
+        self._refilled_at: float | None = None
+
+    def refill(self, now: float) -> None:
+        """Adds the tokens since the last refill; a clock that goes back adds none."""
+        if self._refilled_at is None:
+            self._refilled_at = now
+        elif now > self._refilled_at:
+            added = (now - self._refilled_at) * self._refill_per_s
+            self._tokens = min(self._capacity, self._tokens + added)
+            self._refilled_at = now
+
+    def holds(self, amount: float) -> bool:
+        """Returns whether the bucket holds the amount."""
+        return amount <= self._tokens or amount == 0.0
+
+    def take(self, amount: float) -> None:
+        """Takes the amount, also below zero."""
+        self._tokens -= amount
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/measuring/cost.py
@@ -0,0 +1,30 @@
+"""Cost of measuring a backend server."""
+
+import dataclasses
+
+from laburnumford_policy.measuring import _parameters
+
+_PARAMETERS = {"calls": (0.0, 1e9), "bytes": (0.0, 1e15), "cpu_ms": (0.0, 1e9)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What one probe costs the backend server.
+
+    Attributes:
+        calls: calls to the server.
+        bytes: bytes sent and received.
+        cpu_ms: processor time of the server in milliseconds.
+
+    Raises:
+        MeasuringParameterError: a value is negative or no number; it would refill the budget.
+    """
+
+    calls: int = 1
+    bytes: int = 0
+    cpu_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Checks the values."""
+        values = {"calls": self.calls, "bytes": self.bytes, "cpu_ms": self.cpu_ms}
+        _parameters.check("cost", _PARAMETERS, values)
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/measuring/errors.py
@@ -0,0 +1,11 @@
+"""Errors of measuring."""
+
+from laburnumford_objects import errors
+
+
+class MeasuringError(errors.LaburnumfordError):
+    """Base class of the errors of measuring."""
+
+
+class MeasuringParameterError(MeasuringError, errors.ParameterError):
+    """A parameter has a wrong type or lies outside its range."""
