End started processes with the process that started them

Process now asks the kernel to kill the child when its parent dies.

The new test passes, and fails without the change.

--- a/packages/testkit/src/laburnumford_testkit/processes/process.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/process.py
@@ -1,6 +1,7 @@
 """A real process in its own process group."""
 
 import asyncio
+import ctypes
 import os
 import pathlib
 import re
@@ -15,6 +16,8 @@
 from laburnumford_testkit import errors
 
 _POLL_S = 0.01
+_LIBC = ctypes.CDLL(None)
+_PR_SET_PDEATHSIG = 1
 _TAIL_BYTES = 4000
 
 
@@ -26,11 +29,17 @@
     return os.pathsep.join([own, *(root for root in roots if root != own)])
 
 
+def _end_with_parent() -> None:
+    """Asks the kernel to kill this process when its parent dies, such as in a killed test run."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
     """Starts a Python module as a process and ends it with its group.
 
     Standard output and error go to `<name>.out` and `<name>.err` in the
-    folder, also across restarts.
+    folder, also across restarts. The process ends with the thread that started it, so that a
+    killed test run leaves nothing behind.
 
     Args:
         name: name of the process in errors and of its log files.
@@ -89,6 +98,7 @@
                 stderr=error,
                 env=self._environment,
                 process_group=0,
+                preexec_fn=_end_with_parent,
             )
 
     async def start(self, timeout_s: float = 15.0) -> None:
--- a/packages/testkit/src/laburnumford_testkit/tests/test_processes.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_processes.py
@@ -1,5 +1,9 @@
 """Tests of the helper for real processes."""
 
+import asyncio
+import os
+import pathlib
+import sys
 import time
 
 import pytest
@@ -65,3 +69,40 @@
     found = processes.addresses.free_addresses(50)
     assert len(set(found)) == 50
     assert all(address.startswith("127.") for address in found)
+
+
+async def test_processes_end_with_the_process_that_started_them(tmp_path):
+    """Fails if a killed test run leaves its stand-ins running."""
+    script = (
+        "import asyncio, pathlib, sys, time\n"
+        "from laburnumford_testkit.processes import process\n"
+        "child = process.Process(name='b', module='laburnumford_testkit.backend',"
+        " folder=pathlib.Path(sys.argv[1]))\n"
+        "asyncio.run(child.start())\n"
+        "print(child.pid, flush=True)\n"
+        "time.sleep(60)\n"
+    )
+    starter = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-c", script, str(tmp_path)),
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    assert starter.stdout is not None
+    async with asyncio.timeout(20):
+        pid = int(await starter.stdout.readline())
+    starter.kill()
+    await starter.wait()
+    deadline = time.monotonic() + 5
+    while _runs(pid):
+        assert time.monotonic() < deadline, f"process {pid} still runs"
+        await asyncio.sleep(0.05)
+
+
+def _runs(pid):
+    """Returns whether a process runs and is not merely waiting to be reaped."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    except FileNotFoundError:
+        return False
+    return status.rpartition(")")[2].split()[0] != "Z"
