Probe the adjacent server inside its budget; close connections in drain without losing requests

Change: a prober bounded by the published measuring budget; the backlog is accepted before the listener closes; connections in use close with their next answer, idle ones after 1 s without a request.

--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import logging
 from collections.abc import Callable, Sequence
 
 from laburnumford_node import errors, exchange, header_names, reason
@@ -14,6 +15,11 @@
 from laburnumford_policy.admission import entry, outcome
 from laburnumford_policy.admission import result as admission_result
 
+_LOG = logging.getLogger("laburnumford.adjacent")
+
+_DRAIN_LAPSE_S = 60.0
+"""A server that never says that its drain has ended gets one call after this time."""
+
 _REASON_BY_REFUSAL = {
     "overloaded": reason.Reason.OVERLOADED,
     "deadline": reason.Reason.DEADLINE,
@@ -48,7 +54,8 @@
         self._slots = 0
         self.leaving = False
         self._server_draining = False
-        self.last_call_s = clock()
+        self._drain_lapses_s = 0.0
+        self.last_answer_s = clock()
         self.calls_count = 0
 
     @property
@@ -59,7 +66,9 @@
     @property
     def draining(self) -> bool:
         """Whether the server takes no new work, by its own word or by the fleet's view."""
-        return self._server_draining or self.leaving
+        if self.leaving:
+            return True
+        return self._server_draining and self._clock() < self._drain_lapses_s
 
     def report(self) -> choice.LoadReport:
         """Returns the present load."""
@@ -115,7 +124,6 @@
             )
 
         self.calls_count += 1
-        self.last_call_s = started_s
         ongoing = exchange.Exchange(connection=connection, release=release)
         return await self._exchange(
             ongoing, connection, method, target, head, payload, on_informational, deadline_s
@@ -131,6 +139,13 @@
         self._slots = slots
         self._admission = admissions.Admission(slots=slots, limiter_name=limiter_name)
 
+    def observe_draining(self, draining: bool) -> None:
+        """Takes over what the backend server says about itself."""
+        self._drain_lapses_s = self._clock() + _DRAIN_LAPSE_S
+        if draining is not self._server_draining:
+            self._server_draining = draining
+            _LOG.info("adjacent: backend server %s", "drains" if draining else "takes work again")
+
     def drain(self) -> None:
         """Refuses new requests; queued and running ones end."""
         self._admission.drain()
@@ -170,7 +185,8 @@
         except BaseException:
             ongoing.abandon()
             raise
-        self._server_draining = fields.get(answer.fields, header_names.DRAINING) == b"1"
+        self.last_answer_s = self._clock()
+        self.observe_draining(fields.get(answer.fields, header_names.DRAINING) == b"1")
         if fields.get(answer.fields, header_names.OUTCOME) == b"refused":
             await ongoing.end(whole=True)
             raise errors.RefusedError(
--- a/packages/node/src/laburnumford_node/http/server.py
+++ b/packages/node/src/laburnumford_node/http/server.py
@@ -1,7 +1,9 @@
 """A listener and the connections that it accepted."""
 
 import asyncio
+import contextlib
 import logging
+import socket
 from collections.abc import Callable
 
 from laburnumford_node.http import server_connection
@@ -9,6 +11,10 @@
 _LOG = logging.getLogger("laburnumford.http")
 _SWEEP_INTERVAL_S = 1.0
 _BACKLOG = 512
+_DRAIN_POLL_S = 0.05
+_DRAIN_IDLE_S = 1.0
+_IDLE_LIMIT_S = 3.0
+"""Connections without a request are closed at the latest this long after a drain began."""
 
 
 class Server:
@@ -47,6 +53,7 @@
         self._clock = clock
         self._connections: set[server_connection.ServerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self.refused_connections = 0
@@ -59,17 +66,17 @@
     @property
     def port(self) -> int:
         """The port that the server listens on."""
-        if self._server is None:
+        if self._socket is None:
             raise RuntimeError("the server is not started")
-        return int(self._server.sockets[0].getsockname()[1])
+        return int(self._socket.getsockname()[1])
 
     async def start(self) -> None:
         """Starts to listen."""
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, host, int(port), backlog=_BACKLOG, reuse_address=True
-        )
+        self._socket = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        self._socket.setblocking(False)
+        self._server = await loop.create_server(self._accept, sock=self._socket, backlog=_BACKLOG)
         self._sweeper = loop.create_task(self._sweep())
 
     async def drain(self, grace_s: float) -> int:
@@ -83,19 +90,21 @@
         Returns:
             The number of connections that were reset.
         """
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self._connections):
-            connection.drain_connection()
-        deadline = self._clock() + grace_s
-        while self._tasks and self._clock() < deadline:
-            await asyncio.wait(self._tasks, timeout=deadline - self._clock())
+        await self._stop_listening()
+        started_s = self._clock()
+        while self._connections and self._clock() < started_s + grace_s:
+            in_use = self._clock() < started_s + _IDLE_LIMIT_S
+            for connection in list(self._connections):
+                connection.drain_connection(_DRAIN_IDLE_S if in_use else 0.0)
+            if self._tasks:
+                await asyncio.wait(
+                    self._tasks, timeout=_DRAIN_POLL_S, return_when=asyncio.FIRST_COMPLETED
+                )
         return await self.close()
 
     async def close(self) -> int:
         """Stops listening and resets what is open; returns the number of resets."""
-        if self._server is not None:
-            self._server.close()
+        await self._stop_listening()
         if self._sweeper is not None:
             self._sweeper.cancel()
             await asyncio.gather(self._sweeper, return_exceptions=True)
@@ -108,6 +117,22 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         return len(open_connections)
 
+    async def _stop_listening(self) -> None:
+        """Closes the listening socket after the connections that wait in its backlog.
+
+        The kernel resets connections that were not accepted when the socket closes.
+        """
+        if self._server is None or self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(_BACKLOG):
+                accepted, _ = self._socket.accept()
+                accepted.setblocking(False)
+                await loop.connect_accepted_socket(self._accept, accepted)
+        self._server.close()
+        self._server = None
+
     def _accept(self) -> asyncio.BaseProtocol:
         if len(self._connections) >= self._max_connections:
             self.refused_connections += 1
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -3,6 +3,9 @@
 import asyncio
 import collections
 import contextlib
+import fcntl
+import sys
+import termios
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, cast
 
@@ -251,12 +254,28 @@
         if self._transport is not None:
             self._transport.close()
 
-    def drain_connection(self) -> None:
-        """Closes the connection at the next message boundary."""
+    def drain_connection(self, idle_for_s: float) -> None:
+        """Closes the connection at the next message boundary.
+
+        A caller may be sending a request on a connection that looks idle, and would get
+        no answer to it. So a connection in use is closed with its next answer, and only
+        one without a request for some time is closed by itself.
+
+        Args:
+            idle_for_s: time without received bytes after which the connection closes.
+        """
         self._draining = True
-        if self.idle:
+        idle_s = self._clock() - self.last_activity_s
+        if self.idle and idle_s >= idle_for_s and not self._has_unread_bytes():
             self.close()
 
+    def _has_unread_bytes(self) -> bool:
+        if self._transport is None or self._transport.is_closing():
+            return False
+        found = self._transport.get_extra_info("socket")
+        pending = fcntl.ioctl(found.fileno(), termios.FIONREAD, b"\0" * 4)
+        return int.from_bytes(pending, sys.byteorder) > 0
+
     @property
     def task(self) -> asyncio.Task[None] | None:
         """The task of the connection, for the server that owns it."""
@@ -300,7 +319,7 @@
 
     async def _next_request(self) -> request.Request | errors.BadMessageError | None:
         while not self._requests:
-            if self._lost or self._draining:
+            if self._lost:
                 return None
             self._request_waiter = asyncio.get_running_loop().create_future()
             try:
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -17,6 +17,7 @@
     pages,
     peer,
     peer_client,
+    prober,
     problem,
     service_state,
     ticket_desk,
@@ -24,7 +25,7 @@
     view,
 )
 from laburnumford_node.http import pool, server, server_connection
-from laburnumford_objects import node_settings, object_set
+from laburnumford_objects import measuring, node_settings, object_set, resolution
 from laburnumford_policy.admission import admission
 from laburnumford_policy.once import ticket_book
 
@@ -49,7 +50,7 @@
         self._views = view.ViewBuilder()
         self._view: view.View | None = None
         self._drain_requested = asyncio.Event()
-        self._housekeeper: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._metrics = metrics.Metrics()
         self._fleet = fleets.Fleet(
             settings=settings, generator=self._generator, on_apply=self._apply
@@ -90,6 +91,14 @@
             connections=self._backend_connections,
             clock=clock,
         )
+        self._prober = prober.Prober(
+            server=self._adjacent,
+            address=settings.backend_address,
+            path=settings.health_path,
+            connections=self._backend_connections,
+            generator=self._generator,
+            clock=clock,
+        )
         peers = peer_client.PeerClient(connections=self._peer_connections, clock=clock)
         self._states = service_state.ServiceStates(
             chooser_name=settings.chooser,
@@ -168,7 +177,8 @@
         await self._fleet.start()
         await self._peer_server.start()
         await self._edge_server.start()
-        self._housekeeper = asyncio.get_running_loop().create_task(self._keep_house())
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._keep_house()), loop.create_task(self._prober.run())]
         # Objects that live as long as the process need no further collection runs.
         gc.collect()
         gc.freeze()
@@ -196,9 +206,9 @@
 
     async def close(self) -> None:
         """Closes everything at once."""
-        if self._housekeeper is not None:
-            self._housekeeper.cancel()
-            await asyncio.gather(self._housekeeper, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._edge_server.close()
         await self._peer_server.close()
         self._backend_connections.close()
@@ -221,6 +231,7 @@
                 "draining": self._adjacent.draining,
                 "calls": self._adjacent.calls_count,
             },
+            "measuring": self._prober.status(),
             "connections": {
                 "edge": self._edge_server.connection_count,
                 "peer": self._peer_server.connection_count,
@@ -248,9 +259,19 @@
         own = self._view.servers_by_name.get(self._settings.backend_server)
         if own is not None:
             self._adjacent.apply_limits(slots=own.slots, limiter_name=self._settings.limiter)
+        self._prober.apply(self._own_measuring(objects))
         self._states.apply()
         _LOG.info("node: version %d in force", version)
 
+    def _own_measuring(self, objects: object_set.ObjectSet) -> measuring.Measuring | None:
+        """Returns the measuring budget of the adjacent server, None if it is not published."""
+        name = self._settings.backend_server
+        for service in objects.services_by_name.values():
+            servers = objects.groups_by_name[service.group].backend_servers
+            if any(server.name == name for server in servers):
+                return resolution.resolve(objects.policies_by_name, service.policy).measuring
+        return None
+
     def _observe_peer_version(self, value: bytes) -> None:
         if value.isdigit() and len(value) <= 18:
             self._fleet.observe_peer_version("", int(value))
--- a/packages/objects/src/laburnumford_objects/node_settings.py
+++ b/packages/objects/src/laburnumford_objects/node_settings.py
@@ -33,6 +33,12 @@
     control_address: _model.Address = _model.declared("Address where it takes control messages.")
     operator_address: _model.Address = _model.declared("Address of the operators' pages.")
     platform_url: _Url = _model.declared("URL of the platform.")
+    health_path: str = _model.declared(
+        "Path of the health request to the backend server.",
+        default="/health",
+        pattern=r"^/[!-~]*$",
+        max_length=256,
+    )
     control_seeds: tuple[_model.Address, ...] = _model.declared(
         "Control addresses of nodes that are asked first.", default=(), max_length=64
     )
--- a/packages/testkit/src/laburnumford_testkit/backend/server.py
+++ b/packages/testkit/src/laburnumford_testkit/backend/server.py
@@ -117,7 +117,11 @@
         else:
             value = self._load()
         return answer_module.Answer(
-            headers=(("content-type", "application/json"), ("x-server", self.name)),
+            headers=(
+                ("content-type", "application/json"),
+                ("x-server", self.name),
+                ("laburnumford-draining", "1" if self.draining else "0"),
+            ),
             body=json.dumps(value).encode(),
             head=request.method == "HEAD",
         )
--- a/packages/testkit/src/laburnumford_testkit/tests/system/test_leaving.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/system/test_leaving.py
@@ -150,3 +150,19 @@
         await loading
         leaves = [leave.Leave(server=name, at=began, allowance_s=_LEAVE_ALLOWANCE_S)]
         assert _judge(running, caller, leaves) == ()
+
+
+async def test_server_that_ends_its_drain_gets_work_again(run_cluster, make_caller):
+    """Guards against a drain that outlasts the drain of the server, as no call can end it."""
+    caller = make_caller()
+    async with run_cluster(services=["assay-results"], seed=_SEED) as running:
+        name = sorted(running.backends_by_name)[0]
+        lookup = call.Call(path="/assay-results/1", timeout_ms=2000)
+        await running.backend(name).set_draining(True)
+        await caller.call(lookup, running.edge_address(name))
+        drained = await caller.call(lookup, running.edge_address(name))
+        assert drained.server != name
+        await running.backend(name).set_draining(False)
+        async with asyncio.timeout(10):
+            while (await caller.call(lookup, running.edge_address(name))).server != name:
+                await asyncio.sleep(0.05)
