Add partitions between nodes to Cluster

The proxy can now name the caller of a connection, from the socket tables of the started processes, and apply faults by caller; Cluster.partition holds the bytes between sides and Cluster.heal delivers them.

--- a/packages/testkit/src/laburnumford_testkit/faultproxy/proxy.py
+++ b/packages/testkit/src/laburnumford_testkit/faultproxy/proxy.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 
 from laburnumford_testkit import listening
 from laburnumford_testkit.faultproxy import _pipe
@@ -24,10 +25,18 @@
         generator: source of jitter.
         host: IP to listen on.
         port: port to listen on; 0 picks a free one.
+        identify: returns the name of the caller at an IP and port, or None if it is unknown;
+            faults can then be set by caller.
     """
 
     def __init__(
-        self, *, target: str, generator: random.Random, host: str = "127.0.0.1", port: int = 0
+        self,
+        *,
+        target: str,
+        generator: random.Random,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        identify: Callable[[tuple[str, int]], str | None] | None = None,
     ) -> None:
         self.target = target
         self.address = ""
@@ -37,7 +46,9 @@
         self._generator = generator
         self._host = host
         self._port = port
+        self._identify = identify
         self._faults = faults_module.Faults()
+        self._faults_by_source: dict[str, faults_module.Faults] = {}
         self._changed = asyncio.Event()
         self._listener: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -47,12 +58,32 @@
         """The faults in force."""
         return self._faults
 
-    def set_faults(self, faults: faults_module.Faults) -> None:
-        """Replaces the faults of open and of new connections."""
-        self._faults = faults
+    def set_faults(self, faults: faults_module.Faults, source: str | None = None) -> None:
+        """Replaces the faults of open and of new connections.
+
+        Args:
+            faults: the faults in force from now on.
+            source: name of a caller to which they apply instead of the general ones; None sets
+                the general ones.
+        """
+        if source is None:
+            self._faults = faults
+        else:
+            self._faults_by_source[source] = faults
+        self._wake()
+
+    def clear_sources(self) -> None:
+        """Removes all faults that were set by caller."""
+        self._faults_by_source.clear()
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _faults_of(self, source: str | None) -> faults_module.Faults:
+        return self._faults if source is None else self._faults_by_source.get(source, self._faults)
+
     async def start(self) -> None:
         """Starts to listen; `address` then holds `ip:port`."""
         bound = listening.bind(self._port, self._host)
@@ -83,7 +114,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        if self._faults.refuse:
+        source = None
+        if self._identify is not None:
+            source = self._identify(writer.get_extra_info("peername"))
+        if self._faults_of(source).refuse:
             _reset(writer)
             return
         target: asyncio.StreamWriter | None = None
@@ -93,7 +127,7 @@
             except (OSError, TimeoutError):
                 _reset(writer)
                 return
-            await self._relay(reader, writer, target_reader, target)
+            await self._relay(reader, writer, target_reader, target, source)
         except* _pipe.CutError as group:
             self.cuts += 1
             if any(
@@ -118,19 +152,21 @@
         writer: asyncio.StreamWriter,
         target_reader: asyncio.StreamReader,
         target: asyncio.StreamWriter,
+        source: str | None,
     ) -> None:
         chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(_DUPLICATE_CHUNKS)
         copy = None
-        if self._faults.duplicate:
+        if self._faults_of(source).duplicate:
 
             def copy(data: bytes) -> None:
                 with contextlib.suppress(asyncio.QueueFull):
-                    chunks.put_nowait((time.monotonic() + self._faults.duplicate_delay_s, data))
+                    delay_s = self._faults_of(source).duplicate_delay_s
+                    chunks.put_nowait((time.monotonic() + delay_s, data))
 
         up = _pipe.Pipe(
             reader=reader,
             writer=target,
-            faults=lambda: self._faults.to_target,
+            faults=lambda: self._faults_of(source).to_target,
             changed=lambda: self._changed,
             generator=self._generator,
             copy=copy,
@@ -138,7 +174,7 @@
         down = _pipe.Pipe(
             reader=target_reader,
             writer=writer,
-            faults=lambda: self._faults.to_caller,
+            faults=lambda: self._faults_of(source).to_caller,
             changed=lambda: self._changed,
             generator=self._generator,
         )
@@ -149,13 +185,16 @@
             if copy is not None:
                 watches.append(group.create_task(self._duplicate(chunks)))
             await asyncio.gather(*pumps)
-            await self._hold_blackhole()
+            await self._hold_blackhole(source)
             for task in watches:
                 task.cancel()
 
-    async def _hold_blackhole(self) -> None:
+    async def _hold_blackhole(self, source: str | None) -> None:
         """Keeps the sockets open while a blackhole swallows their end."""
-        while self._faults.to_target.blackhole or self._faults.to_caller.blackhole:
+        while (
+            self._faults_of(source).to_target.blackhole
+            or self._faults_of(source).to_caller.blackhole
+        ):
             await self._changed.wait()
 
     async def _duplicate(self, chunks: asyncio.Queue[tuple[float, bytes]]) -> None:
--- a/packages/testkit/src/laburnumford_testkit/processes/__init__.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/__init__.py
@@ -1,5 +1,12 @@
 """Real processes for tests, demo and benches."""
 
-from laburnumford_testkit.processes import addresses, cluster, node_client, process, publisher
+from laburnumford_testkit.processes import (
+    addresses,
+    cluster,
+    node_client,
+    peers,
+    process,
+    publisher,
+)
 
-__all__ = ["addresses", "cluster", "node_client", "process", "publisher"]
+__all__ = ["addresses", "cluster", "node_client", "peers", "process", "publisher"]
--- a/packages/testkit/src/laburnumford_testkit/processes/cluster.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/cluster.py
@@ -14,10 +14,11 @@
 from laburnumford_testkit.backend import client as backend_client
 from laburnumford_testkit.backend import run as run_module
 from laburnumford_testkit.backend import run_log
+from laburnumford_testkit.faultproxy import faults as faults_module
 from laburnumford_testkit.faultproxy import proxy as proxy_module
 from laburnumford_testkit.judge import planned_stop, versions
 from laburnumford_testkit.platform import client as platform_client
-from laburnumford_testkit.processes import addresses, node_client, publisher
+from laburnumford_testkit.processes import addresses, node_client, peers, publisher
 from laburnumford_testkit.processes import process as process_module
 
 _ADDRESSES_PER_SERVER = 5
@@ -147,6 +148,7 @@
                 generator=self._generator,
                 host=host,
                 port=int(port),
+                identify=self._node_at if key[0] in ("peer", "control") else None,
             )
             await proxy.start()
             self.proxies_by_name[key] = proxy
@@ -208,6 +210,40 @@
             ]
         )
 
+    def partition(self, *sides: Sequence[str]) -> None:
+        """Holds all bytes between nodes of different sides until `heal`.
+
+        Needs `proxied` with `peer` and `control`. Connections stay open and
+        deliver what was held once the partition heals, as TCP does.
+
+        Args:
+            sides: names of the backend servers on each side; servers that are not named
+                reach all others.
+        """
+        if not {"peer", "control"} <= self._proxied:
+            raise errors.TestkitError("partition needs proxied with peer and control")
+        held = faults_module.Faults(
+            to_target=faults_module.DirectionFaults(pause=True),
+            to_caller=faults_module.DirectionFaults(pause=True),
+        )
+        for side in sides:
+            others = [name for other in sides if other is not side for name in other]
+            for target in side:
+                for kind in ("peer", "control"):
+                    for source in others:
+                        self.proxies_by_name[kind, target].set_faults(held, source)
+
+    def heal(self) -> None:
+        """Ends the partition."""
+        for proxy in self.proxies_by_name.values():
+            proxy.clear_sources()
+
+    def _node_at(self, remote: tuple[str, int]) -> str | None:
+        running = {
+            name: process.pid for name, process in self.nodes_by_name.items() if process.running
+        }
+        return peers.owner(running, remote)
+
     async def stop_node(self, name: str, timeout_s: float = 30.0) -> planned_stop.PlannedStop:
         """Stops a node with SIGTERM and records the planned stop."""
         began = time.monotonic()
--- a/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
@@ -153,3 +153,35 @@
     assert record.outcome == "refused"
     record = await made.call(Call(), cluster.servers_by_name["accounts-1"].address)
     assert record.own is True
+
+
+async def test_partition_separates_nodes_and_heals(start_cluster, pool):
+    """Fails if nodes of different sides still reach each other, or do not after healing."""
+    cluster = await start_cluster(
+        "accounts", "hallmark-issuing", proxied=frozenset({"peer", "control"})
+    )
+    made = caller.caller.Caller(pool=pool)
+    call = Call(path="/accounts/1", timeout_ms=1500)
+    entry = cluster.edge_address("hallmark-issuing-1")
+    first = await made.call(call, entry)
+    assert first.own is True, processes.cluster.log_tails(cluster)
+    cluster.partition(
+        [name for name in cluster.servers_by_name if name.startswith("accounts")],
+        [name for name in cluster.servers_by_name if name.startswith("hallmark")],
+    )
+    cut_off = await made.call(call, entry)
+    assert cut_off.own is None
+    inside = await made.call(call, cluster.edge_address("accounts-1"))
+    assert inside.own is True, processes.cluster.log_tails(cluster)
+    cluster.heal()
+    deadline = time.monotonic() + 10
+    while not (await made.call(call, entry)).own:
+        assert time.monotonic() < deadline, processes.cluster.log_tails(cluster)
+        await asyncio.sleep(0.1)
+
+
+def test_partition_without_proxies_is_rejected(nordvarde, tmp_path):
+    """Fails if a partition that cannot take effect passes silently."""
+    cluster = processes.cluster.Cluster(objects=nordvarde, folder=tmp_path)
+    with pytest.raises(errors.TestkitError, match="partition needs proxied"):
+        cluster.partition(["accounts-1"], ["accounts-2"])
--- a/packages/testkit/src/laburnumford_testkit/tests/test_faultproxy.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_faultproxy.py
@@ -138,6 +138,23 @@
     assert server.connections == set()
 
 
+async def test_faults_by_caller_leave_other_callers_alone(start_server, pool):
+    """Fails if a fault between two processes also reaches a third."""
+    _, address = await start_server()
+    names = iter(["a", "b"])
+    async with faultproxy.proxy.FaultProxy(
+        target=address, generator=random.Random(3), identify=lambda _remote: next(names)
+    ) as proxy:
+        proxy.set_faults(Faults(to_target=Direction(pause=True)), "a")
+        made = caller.caller.Caller(pool=pool)
+        held = asyncio.create_task(made.call(Call(), proxy.address))
+        await asyncio.sleep(0.1)
+        assert (await made.call(Call(), proxy.address)).own is True
+        assert not held.done()
+        proxy.clear_sources()
+        assert (await held).own is True
+
+
 async def test_proxy_as_a_process(start_server, start_process, made):
     """Fails if a proxy in another process cannot be steered."""
     _, address = await start_server()
