Fix a lost wait in the slots of the backend stand-in

A request cancelled while another gave its slot back raised "ValueError: <Future cancelled> is not in deque", seen in the output of a test run: the release had dropped the cancelled turn before the cancelled task removed it. The removal now allows for that. A run of the new slot tests on the code before this change ended in an internal error of pytest in the first of them, not in a plain failure.

Also tests that a body of 100 MB takes less than 20 MB of memory.

--- a/packages/testkit/src/laburnumford_testkit/backend/slots.py
+++ b/packages/testkit/src/laburnumford_testkit/backend/slots.py
@@ -40,7 +40,8 @@
         except asyncio.CancelledError:
             if turn.done() and not turn.cancelled():
                 self.release()
-            else:
+            elif turn in self._waiting:
+                # `release` may have dropped the cancelled turn before this task ran again.
                 self._waiting.remove(turn)
             raise
         return True
--- a/packages/testkit/src/laburnumford_testkit/tests/test_backend.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_backend.py
@@ -139,6 +139,50 @@
     assert (await exchange(address, get(x_call_id="b"))).status == 200
 
 
+async def test_slot_released_while_a_waiting_request_is_cancelled():
+    """Fails if a cancelled wait and a release in the same turn of the loop raise or lose a slot."""
+    slots = backend.slots.Slots(slots=1, queue=5)
+    assert await slots.acquire()
+    waiting = [asyncio.create_task(slots.acquire()) for _ in range(2)]
+    await asyncio.sleep(0)
+    waiting[0].cancel()
+    slots.release()
+    results = await asyncio.gather(*waiting, return_exceptions=True)
+    assert isinstance(results[0], asyncio.CancelledError)
+    assert results[1] is True
+    assert (slots.running, slots.queued) == (1, 0)
+
+
+async def test_turn_granted_to_a_cancelled_request_passes_on():
+    """Fails if a slot is lost when a request is cancelled just after it got its turn."""
+    slots = backend.slots.Slots(slots=1, queue=5)
+    assert await slots.acquire()
+    waiting = [asyncio.create_task(slots.acquire()) for _ in range(2)]
+    await asyncio.sleep(0)
+    slots.release()
+    waiting[0].cancel()
+    results = await asyncio.gather(*waiting, return_exceptions=True)
+    assert isinstance(results[0], asyncio.CancelledError)
+    assert results[1] is True
+    assert (slots.running, slots.queued) == (1, 0)
+
+
+async def test_large_body_needs_no_memory(start_process, pool):
+    """Fails if an upload of a hundred MB is kept in memory by the stand-in."""
+    process = await start_process("backend")
+    address = f"127.0.0.1:{process.port}"
+    made = caller.caller.Caller(pool=pool)
+    before = process.resident_bytes()
+    call = caller.call.Call(method="POST", body_bytes=100_000_000, timeout_ms=60_000)
+    calling = asyncio.create_task(made.call(call, address))
+    peak = before
+    while not calling.done():
+        peak = max(peak, process.resident_bytes())
+        await asyncio.sleep(0.02)
+    assert (await calling).own is True
+    assert peak - before < 20_000_000
+
+
 async def test_service_times_are_seeded_and_cold_start_slows(start_server):
     """Fails if two servers with one seed differ, or a cold server is as fast as a warm one."""
     servers = [(await start_server(service_s=0.01, distribution="lognormal"))[0] for _ in range(2)]
