Add a limiter for servers that wait for other servers

Change: limiter gradient-probing measures the rate of ends at the low limit and at all slots, and keeps the slots if that rate is higher. Not the default.

--- a/packages/policy/src/laburnumford_policy/admission/__init__.py
+++ b/packages/policy/src/laburnumford_policy/admission/__init__.py
@@ -12,6 +12,7 @@
     outcome,
     parameters,
     priority,
+    probing_gradient_limiter,
     result,
     verdict,
 )
@@ -28,6 +29,7 @@
     "outcome",
     "parameters",
     "priority",
+    "probing_gradient_limiter",
     "result",
     "verdict",
 ]
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/admission/probing_gradient_limiter.py
@@ -0,0 +1,32 @@
+"""Gradient limiter for servers that wait for other servers."""
+
+from laburnumford_policy.admission import _decrease_check, gradient_limiter, limiter
+
+
+@limiter.limiters.register("gradient-probing")
+class ProbingGradientLimiter(gradient_limiter.GradientLimiter):
+    """Gradient limiter that takes a decrease back if it costs answers.
+
+    Args:
+        slots: number of requests that the server runs at once.
+        tolerance: slowdown that does not decrease the limit.
+        headroom: requests added at each step so that the limit can grow again.
+        smoothing: weight of a step.
+    """
+
+    def __init__(
+        self,
+        *,
+        slots: int,
+        tolerance: float = 2.0,
+        headroom: float = 1.0,
+        smoothing: float = 0.2,
+    ) -> None:
+        super().__init__(slots=slots, tolerance=tolerance, headroom=headroom, smoothing=smoothing)
+        self._check = _decrease_check.DecreaseCheck(slots=slots, tolerance=tolerance)
+
+    def observe(self, now: float, service_time_s: float, failed: bool, priority: str = "") -> None:
+        """Takes the end of one request."""
+        super().observe(now, service_time_s, failed, priority)
+        if not failed and self._check.useless(now, self._limit, 1.0 / self._baseline.ratio):
+            self._limit = float(self._slots)
--- a/packages/policy/src/laburnumford_policy/admission/tests/compare.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/compare.py
@@ -7,6 +7,7 @@
 import statistics
 import sys
 
+from laburnumford_policy.admission import limiter as limiters
 from laburnumford_policy.admission.tests import server_model
 
 _slow = functools.partial(server_model.Scenario, slow_from_s=5.0, slow_until_s=15.0, length_s=30.0)
@@ -61,7 +62,7 @@
     heading = "".join(f"{name:>9}" for name in _COLUMNS)
     for name, scenario in SCENARIOS.items():
         sys.stdout.write(f"{name:34}{heading}\n")
-        for limiter in ("fixed", "aimd", "gradient"):
+        for limiter in limiters.limiters.names():
             for newest_first in (False, True):
                 rows = [
                     measure(scenario, seed, limiter_name=limiter, newest_first=newest_first)
@@ -70,7 +71,7 @@
                 means = [statistics.fmean(column) for column in zip(*rows, strict=True)]
                 order = "newest first" if newest_first else "oldest first"
                 figures = "".join(f"{mean:9.3f}" for mean in means)
-                sys.stdout.write(f"  {limiter:10}{order:22}{figures}\n")
+                sys.stdout.write(f"  {limiter:18}{order:14}{figures}\n")
 
 
 if __name__ == "__main__":
--- a/packages/policy/src/laburnumford_policy/admission/tests/test_model.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_model.py
@@ -41,3 +41,16 @@
     default = server_model.Model(SLOW, 1).run()
     assert default.in_time_while_slow > 1.1 * fixed.in_time_while_slow
     assert default.late < fixed.late
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("kind", "baseline", "share"), [("latency", "fixed", 0.6), ("shared", "gradient", 0.9)]
+)
+def test_probing_keeps_the_answers_of_a_server_that_waits_for_another(seed, kind, baseline, share):
+    """Fails if the limit stays low where that costs answers, or probing costs many itself."""
+    scenario = server_model.Scenario(kind=kind, slow_from_s=5.0, slow_until_s=15.0, length_s=20.0)
+    other = server_model.Model(scenario, seed, limiter_name=baseline).run()
+    probing = server_model.Model(scenario, seed, limiter_name="gradient-probing").run()
+    assert probing.in_time_while_slow > share * other.in_time_while_slow
+    assert probing.recovery_s(scenario) < 2.0
