--- a/packages/policy/src/laburnumford_policy/admission/tests/compare.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/compare.py
@@ -7,6 +7,7 @@
 import statistics
 import sys
 
+from laburnumford_policy.admission import limiter as limiters
 from laburnumford_policy.admission.tests import server_model
 
 _slow = functools.partial(server_model.Scenario, slow_from_s=5.0, slow_until_s=15.0, length_s=30.0)
@@ -14,10 +15,25 @@
     "slow-shared": _slow(),
     "slow-shared-6": _slow(slots=6),
     "slow-latency": _slow(kind="latency"),
+    "slow-hung-100x": _slow(slowdown=100.0, cancel_at_deadline=True),
     "overload-2x": server_model.Scenario(load=2.0),
     "overload-2x-wide": server_model.Scenario(load=2.0, spread=1.0),
+    "overload-2x-mixed": server_model.Scenario(
+        load=2.0, work_by_priority={"upload": 8.0, "statement": 4.0}
+    ),
 }
-_COLUMNS = ("in time", "slow", "late", "dropped", "p50 ms", "p99 ms", "least", "back s", "lookup")
+_COLUMNS = (
+    "in time",
+    "work",
+    "slow",
+    "late",
+    "dropped",
+    "p50 ms",
+    "p99 ms",
+    "least",
+    "back s",
+    "lookup",
+)
 
 
 def measure(scenario, seed, **parameters):
@@ -29,6 +45,7 @@
     slow_capacity = slow_s * scenario.slots / server_model.SERVICE_S / scenario.slowdown
     return (
         seen.goodput(scenario),
+        seen.work_share(scenario),
         seen.in_time_while_slow / slow_capacity if slow_s else 0.0,
         seen.late,
         seen.dropped,
@@ -45,7 +62,7 @@
     heading = "".join(f"{name:>9}" for name in _COLUMNS)
     for name, scenario in SCENARIOS.items():
         sys.stdout.write(f"{name:34}{heading}\n")
-        for limiter in ("fixed", "aimd", "gradient"):
+        for limiter in limiters.limiters.names():
             for newest_first in (False, True):
                 rows = [
                     measure(scenario, seed, limiter_name=limiter, newest_first=newest_first)
@@ -54,7 +71,7 @@
                 means = [statistics.fmean(column) for column in zip(*rows, strict=True)]
                 order = "newest first" if newest_first else "oldest first"
                 figures = "".join(f"{mean:9.3f}" for mean in means)
-                sys.stdout.write(f"  {limiter:10}{order:22}{figures}\n")
+                sys.stdout.write(f"  {limiter:18}{order:14}{figures}\n")
 
 
 if __name__ == "__main__":
