Bound the traffic after the loss of a third of the nodes

Two nodes that both failed to reach a lost one renewed each other's report for ever, one message a second each, and attempts that never connected were counted as sent.

Change: only the change of a server to silent is passed on; failed attempts are counted on their own; a start with one answering peer waits for a single attempt at each other neighbour; the benchmark measures the loss of a third.

The new test fails without the change.

--- a/packages/fleet/src/laburnumford_fleet/bench/__main__.py
+++ b/packages/fleet/src/laburnumford_fleet/bench/__main__.py
@@ -85,6 +85,7 @@
             rest = self._report_rest(before, resting)
             await self._changes()
             self._report_changes(resting, await self._counters(), rest)
+            await self._lose_a_third()
         finally:
             await asyncio.gather(*(process.close() for process in self._processes))
             await self._stand_in.close()
@@ -140,6 +141,32 @@
                 process.applied_at[version] - published_at for process in self._processes
             ]
 
+    async def _lose_a_third(self) -> None:
+        """Ends every third node and measures the traffic and a change of the others."""
+        lost = self._processes[2::3]
+        if not lost:
+            return
+        self._processes = [process for process in self._processes if process not in lost]
+        before = await self._counters()
+        await asyncio.gather(*(process.close() for process in lost))
+        await asyncio.sleep(self._arguments.lost_s)
+        after = await self._counters()
+        elapsed_s = after["at"] - before["at"]
+        per_node = [
+            (last - first) / elapsed_s
+            for first, last in zip(before["bytes"], after["bytes"], strict=True)
+        ]
+        nodes = len(self._processes)
+        self._print("third.lost.control.bytes.mean", sum(per_node) / nodes, "B/s", nodes)
+        self._print("third.lost.control.bytes.max", max(per_node), "B/s", nodes)
+        reads = (after["reads"] - before["reads"]) / elapsed_s
+        self._print("third.lost.platform.reads", reads, "1/s of all nodes", 1)
+        published_at = time.monotonic()
+        version = await self._publish()
+        await self._in_force(version)
+        seconds = [process.applied_at[version] - published_at for process in self._processes]
+        self._print("third.lost.change.in_force.max", max(seconds), "s", nodes)
+
     async def _counters(self) -> dict[str, Any]:
         states = await asyncio.gather(*(process.status() for process in self._processes))
         return {
@@ -237,6 +264,7 @@
     parser.add_argument("--changes", type=int, default=20)
     parser.add_argument("--settle-s", type=float, default=12.0)
     parser.add_argument("--rest-s", type=float, default=40.0)
+    parser.add_argument("--lost-s", type=float, default=20.0)
     arguments = parser.parse_args()
     asyncio.run(_Bench(arguments).run())
     for record in _synthetic.measure(arguments.seed):
--- a/packages/fleet/src/laburnumford_fleet/channel.py
+++ b/packages/fleet/src/laburnumford_fleet/channel.py
@@ -36,7 +36,7 @@
         self._address = address
         self._counter = counter
         self._channel = grpc.aio.insecure_channel(_target(address), options=_CLIENT_OPTIONS)
-        counter.connected()
+        self._connected = False
 
     async def close(self) -> None:
         """Closes the connection."""
@@ -48,13 +48,16 @@
         Raises:
             PeerError: the neighbour did not answer in time, or with an error.
         """
-        self._counter.sent(len(request))
         try:
             answer: bytes = await self._channel.unary_unary(f"/{SERVICE}/{method}")(
                 request, timeout=timeout_s
             )
         except (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError) as error:
             code = error.code().name if isinstance(error, grpc.aio.AioRpcError) else repr(error)
+            if self._connected:
+                self._counter.sent(len(request))
+            else:
+                self._counter.attempted()
             raise errors.PeerError(
                 f"neighbour {self._address}: {method} failed, {code}"
             ) from error
@@ -64,6 +67,10 @@
                 raise
             # The channel was closed during the call; the calling task itself is not cancelled.
             raise errors.PeerError(f"neighbour {self._address}: channel closed") from None
+        if not self._connected:
+            self._connected = True
+            self._counter.connected()
+        self._counter.sent(len(request))
         self._counter.received(len(answer))
         return answer
 
--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -259,6 +259,7 @@
                 "messages_received": self._meter.messages_received,
                 "estimated_bytes": self._meter.estimated_bytes,
                 "connects": self._meter.connects,
+                "failed_connects": self._meter.attempts,
             },
             "platform": {
                 "reads": self._limit.admitted,
@@ -271,10 +272,10 @@
 
     def _settled(self) -> bool:
         """Returns whether peers and platform were asked and nothing higher is known."""
-        peers_asked = all(
-            found.connected or found.attempts >= _START_ATTEMPTS
-            for found in self._spread.neighbours
-        )
+        peers = self._spread.neighbours
+        # With one answer, a single attempt at each other neighbour is enough.
+        attempts = 1 if any(found.connected for found in peers) else _START_ATTEMPTS
+        peers_asked = all(found.connected or found.attempts >= attempts for found in peers)
         platform_asked = self._reader.read_at is not None or self._reader.failed_at is not None
         return self.version > 0 and peers_asked and platform_asked and not self._spread.behind
 
--- a/packages/fleet/src/laburnumford_fleet/membership.py
+++ b/packages/fleet/src/laburnumford_fleet/membership.py
@@ -115,7 +115,9 @@
         if not self._observe_incarnation(report.server, view, report.incarnation, born_at, now):
             return
         if state is report_state.ReportState.SILENT:
-            if at > max(view.silent_at, view.contact_at) and now - at < _SILENT_TTL_S:
+            # Only the change to silent is passed on: every attempt of a neighbour to reach the
+            # server renews the time, and passing that on kept 1 message/s going for ever.
+            if view.silent_at <= view.contact_at < at and now - at < _SILENT_TTL_S:
                 self._queue(report.server, state)
             view.silent_at = max(view.silent_at, at)
             return
--- a/packages/fleet/src/laburnumford_fleet/meter.py
+++ b/packages/fleet/src/laburnumford_fleet/meter.py
@@ -6,6 +6,8 @@
 # messages of a unary call, and no bytes at rest. Added to them are 1.5 segments with 66 bytes of
 # Ethernet, IP and TCP headers each, as a call takes three with its acknowledgement.
 MESSAGE_OVERHEAD_BYTES = 160
+# SYN and its refusal, or two unanswered SYN.
+ATTEMPT_OVERHEAD_BYTES = 150
 # Measured: the first call of a connection takes 430 bytes more; SYN and FIN take 7 segments.
 CONNECT_OVERHEAD_BYTES = 900
 _WINDOW_S = 60.0
@@ -19,6 +21,7 @@
         self.payload_received = 0
         self.messages_sent = 0
         self.messages_received = 0
+        self.attempts = 0
         self.connects = 0
         self._marks: collections.deque[tuple[float, int, int]] = collections.deque()
 
@@ -32,8 +35,12 @@
         self.payload_received += size
         self.messages_received += 1
 
+    def attempted(self) -> None:
+        """Counts one attempt to connect that failed."""
+        self.attempts += 1
+
     def connected(self) -> None:
-        """Counts one attempt to connect."""
+        """Counts one connection."""
         self.connects += 1
 
     @property
@@ -41,7 +48,12 @@
         """Payload and estimated protocol overhead, both directions together."""
         messages = self.messages_sent + self.messages_received
         payload = self.payload_sent + self.payload_received
-        return payload + messages * MESSAGE_OVERHEAD_BYTES + self.connects * CONNECT_OVERHEAD_BYTES
+        return (
+            payload
+            + messages * MESSAGE_OVERHEAD_BYTES
+            + self.attempts * ATTEMPT_OVERHEAD_BYTES
+            + self.connects * CONNECT_OVERHEAD_BYTES
+        )
 
     def mark(self, *, now: float) -> None:
         """Adds a point to the window of the rates; called every few seconds."""
--- a/packages/fleet/src/laburnumford_fleet/tests/test_membership.py
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_membership.py
@@ -116,6 +116,23 @@
     assert sent <= 1024 * 8
 
 
+def test_renewed_silence_is_passed_on_once():
+    """Guards against two nodes that renew each other's report of a dead server for ever."""
+    views = _view(), _view()
+    for view in views:
+        view.observe_report(_report("a", 1, uptime_s=10.0), now=10.0)
+        view.observe_sent(view.reports(limit=16, now=10.0) * 8)
+    for step in range(100):
+        now = 20.0 + step
+        views[step % 2].observe_silence("a", now=now)
+        for source, target in (views, views[::-1]):
+            reports = source.reports(limit=16, now=now)
+            for report in reports:
+                target.observe_report(report, now=now)
+            source.observe_sent(reports)
+    assert not any(view.waiting for view in views)
+
+
 def test_unpublished_server_is_absent():
     """Guards against work for a server that the version in force no longer names."""
     view = _view()
