Draw the incarnation from the system, not from the seeded generator

Cause: with a fixed seed in the settings a restarted node had the same incarnation as before, so its restart went unnoticed; the partition test, which restarts nodes with the same seed, could not see it either.

Change: Fleet draws the incarnation with secrets.randbits.

--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import secrets
 import time
 from collections.abc import Callable
 from typing import Any
@@ -78,7 +79,8 @@
         )
         self._local = local_state.LocalState(
             node=self._node,
-            incarnation=generator.getrandbits(64) or 1,
+            # Not from the seeded generator, which gives the same number after a restart.
+            incarnation=secrets.randbits(64) or 1,
             store=self._store,
             view=self._view,
             counter=self._meter,
