--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -79,8 +79,7 @@
         )
         self._local = local_state.LocalState(
             node=self._node,
-            # Never from the seeded generator: a restart with the same seed would vouch for
-            # the tickets of the former incarnation.
+            # Not from the seeded generator, which gives the same number after a restart.
             incarnation=secrets.randbits(64) or 1,
             store=self._store,
             view=self._view,
@@ -205,11 +204,6 @@
         """Returns whether a server takes new work, as far as this node knows."""
         return self._view.live(server_name, now=time.monotonic())
 
-    def leaving(self, server_name: str) -> bool:
-        """Returns whether a server is to take no new work, by any source."""
-        found = self._view.standing_of(server_name, now=time.monotonic())
-        return found is standing.Standing.LEAVING
-
     def leave(self) -> None:
         """Tells the neighbours at once that this node takes no new work."""
         self._local.leaving = True
--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -13,7 +13,6 @@
 from laburnumford_policy.admission import admission as admissions
 from laburnumford_policy.admission import changes as admission_changes
 from laburnumford_policy.admission import entry, outcome
-from laburnumford_policy.admission import result as admission_result
 
 _LOG = logging.getLogger("laburnumford.adjacent")
 
@@ -72,8 +71,7 @@
 
     def report(self) -> choice.LoadReport:
         """Returns the present load."""
-        load = self._admission.report()
-        return choice.LoadReport(load.running, load.queued, load.limit, load.service_time_us)
+        return self._admission.report()
 
     def has_capacity(self) -> bool:
         """Whether a request would run at once."""
@@ -240,7 +238,7 @@
             self._admission.release(
                 now=now,
                 service_time_s=now - started_s,
-                result=admission_result.Result(result.value),
+                result=result,
             )
         )
 
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -288,4 +288,4 @@
             self._peer_connections.sweep()
             if self._view is not None:
                 self._states.apply()
-                self._adjacent.leaving = self._fleet.leaving(self._settings.backend_server)
+                self._adjacent.leaving = self._fleet.leaving
--- a/packages/policy/src/laburnumford_policy/admission/__init__.py
+++ b/packages/policy/src/laburnumford_policy/admission/__init__.py
@@ -8,12 +8,10 @@
     fixed_limiter,
     gradient_limiter,
     limiter,
-    load,
     outcome,
     parameters,
     priority,
     probing_gradient_limiter,
-    result,
     verdict,
 )
 
@@ -25,11 +23,9 @@
     "fixed_limiter",
     "gradient_limiter",
     "limiter",
-    "load",
     "outcome",
     "parameters",
     "priority",
     "probing_gradient_limiter",
-    "result",
     "verdict",
 ]
--- a/packages/policy/src/laburnumford_policy/admission/admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/admission.py
@@ -6,12 +6,12 @@
     changes,
     entry,
     limiter,
-    load,
     outcome,
     parameters,
-    result,
     verdict,
 )
+from laburnumford_policy.choice import load_report
+from laburnumford_policy.choice import result as results
 
 # Entries that start with just the mean service time left are late half of the time. In the
 # model with a server slowed tenfold, 1.0 gave 73 late answers, 1.5 gave 32. Higher values
@@ -105,7 +105,7 @@
         return verdict.Verdict(outcome=outcome.Outcome.QUEUED, shed=shed)
 
     def release(
-        self, now: float, service_time_s: float, result: result.Result, *, priority: str = ""
+        self, now: float, service_time_s: float, result: results.Result, *, priority: str = ""
     ) -> changes.Changes:
         """Frees the slot of a request that has ended and starts waiting entries.
 
@@ -119,11 +119,11 @@
                 priority, as an upload takes longer than a lookup.
         """
         self._running = max(0, self._running - 1)
-        answered = result.name == "ANSWERED"
+        answered = result is results.Result.ANSWERED
         if answered or service_time_s > self._service_times.expected(priority):
             self._service_times.observe(service_time_s, priority)
             self._limiter.observe(now, service_time_s, False, priority)
-        if result.name == "FAILED":
+        if result is results.Result.FAILED:
             self._limiter.observe(now, service_time_s, True, priority)
         return self._dispatch(now)
 
@@ -151,9 +151,9 @@
         """Whether nothing runs or waits."""
         return self._running == 0 and len(self._waiting) == 0
 
-    def report(self) -> load.LoadReport:
+    def report(self) -> load_report.LoadReport:
         """Returns the current load of the server."""
-        return load.LoadReport(
+        return load_report.LoadReport(
             running=self._running,
             queued=len(self._waiting),
             limit=self._limiter.limit,
--- a/packages/policy/src/laburnumford_policy/admission/tests/server_model.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/server_model.py
@@ -10,7 +10,8 @@
 import math
 import random
 
-from laburnumford_policy.admission import admission, entry, outcome, result
+from laburnumford_policy.admission import admission, entry, outcome
+from laburnumford_policy.choice import result
 
 SERVICE_S = 0.02
 # Seconds from arrival to deadline and share of the arrivals.
--- a/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
@@ -3,7 +3,8 @@
 import pytest
 
 from laburnumford_objects import errors
-from laburnumford_policy.admission import admission, entry, limiter, outcome, result
+from laburnumford_policy.admission import admission, entry, limiter, outcome
+from laburnumford_policy.choice import result
 
 RUN, QUEUED, REFUSED = outcome.Outcome.RUN, outcome.Outcome.QUEUED, outcome.Outcome.REFUSED
 ANSWERED = result.Result.ANSWERED
