Report zones, retry budgets and ages in the status of a node

Cause: the operators' client is to show availability zones, budgets used and the age of each figure, and the status document did not have them.

Change: plain data only. The fleet part has `zones` (published, leaving and silent nodes per availability zone) and `nodes_by_version_age_s` (age of the oldest report in the sample). The node part has `chooser`, `retry_budgets` (attempts admitted and denied by service and cause) and `server.last_call_age_s`. Nothing that existed changes.

--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from laburnumford_fleet import (
@@ -203,6 +203,7 @@
         leaving = self._view.names(standing.Standing.LEAVING, now=now)
         silent = self._view.names(standing.Standing.SILENT, now=now)
         counts = self._local.sample.counts(nodes=self._nodes(), now=now)
+        sampled_ms = [entry.age_ms for entry in self._local.sample.entries(now=now)]
         return {
             "node": self._node,
             "incarnation": f"{self._local.incarnation:016x}",
@@ -234,6 +235,8 @@
                 for entry in self._store.rejected
             ],
             "nodes_by_version": {str(number): counts[number] for number in sorted(counts)},
+            "nodes_by_version_age_s": max(sampled_ms, default=0) / 1000.0,
+            "zones": self._zones(leaving=leaving, silent=silent),
             "leaving": list(leaving[:_MAX_LISTED]),
             "leaving_count": len(leaving),
             "silent": list(silent[:_MAX_LISTED]),
@@ -257,6 +260,26 @@
             },
         }
 
+    def _zones(
+        self, *, leaving: Sequence[str], silent: Sequence[str]
+    ) -> dict[str, dict[str, int]]:
+        """Returns the number of published, leaving and silent nodes by availability zone."""
+        zones_by_name = self._directory.zones_by_name
+        counts = {
+            zone: {"nodes": 0, "leaving": 0, "silent": 0}
+            for zone in sorted(set(zones_by_name.values()))
+        }
+        named: dict[str, Iterable[str]] = {
+            "nodes": zones_by_name.keys(),
+            "leaving": leaving,
+            "silent": silent,
+        }
+        for figure, names in named.items():
+            for name in names:
+                if name in zones_by_name:
+                    counts[zones_by_name[name]][figure] += 1
+        return counts
+
     def _settled(self) -> bool:
         """Returns whether peers and platform were asked and nothing higher is known."""
         peers_asked = all(
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from laburnumford_fleet import fleet as fleets
@@ -27,6 +28,7 @@
 from laburnumford_objects import node_settings, object_set
 from laburnumford_policy.admission import admission
 from laburnumford_policy.once import ticket_book
+from laburnumford_policy.retry import cause
 
 _LOG = logging.getLogger("laburnumford.node")
 _HOUSEKEEPING_INTERVAL_S = 0.5
@@ -215,11 +217,13 @@
             "backend_server": self._settings.backend_server,
             "workspace": self._settings.workspace,
             "zone": self._settings.zone,
+            "chooser": self._settings.chooser,
             "draining": self._edge.draining,
             "server": {
                 **dataclasses.asdict(load),
                 "draining": self._adjacent.draining,
                 "calls": self._adjacent.calls_count,
+                "last_call_age_s": self._last_call_age_s(),
             },
             "connections": {
                 "edge": self._edge_server.connection_count,
@@ -228,6 +232,13 @@
                 "stale_requests": self._peer.stale_connections,
             },
             "calls": self._metrics.snapshot(),
+            "retry_budgets": {
+                service: {
+                    "admitted": _by_cause(state.retry_budget.admitted_by_cause),
+                    "denied": _by_cause(state.retry_budget.denied_by_cause),
+                }
+                for service, state in sorted(self._states.known().items())
+            },
             "fleet": self._fleet.status(),
         }
 
@@ -238,6 +249,12 @@
         rows = self._states.state(service).chooser.explain(self._clock())
         return [dataclasses.asdict(row) for row in rows]
 
+    def _last_call_age_s(self) -> float | None:
+        """Returns the time since the last request to the own server, None without any."""
+        if not self._adjacent.calls_count:
+            return None
+        return round(self._clock() - self._adjacent.last_call_s, 3)
+
     def _current_view(self) -> view.View:
         if self._view is None:
             raise RuntimeError("no version is in force")
@@ -268,3 +285,7 @@
             if self._view is not None:
                 self._states.apply()
                 self._adjacent.leaving = self._fleet.leaving(self._settings.backend_server)
+
+
+def _by_cause(counts: Mapping[cause.Cause, int]) -> dict[str, int]:
+    return {each.value: count for each, count in counts.items()}
