Add the commands status, explain and trace of the client

Cause: operators observe the fleet only by what nodes report, and had to read the JSON of the operators' pages and the span files by hand.

Change: `status` shows version, rejected sets, zones, leaving and silent nodes, neighbours, budgets and load of one or several nodes, and merges the calls by service; quantiles come from the merged histograms. `explain` orders the servers of a service and says what decides about each. `trace` shows span files as trees. All have `--json`; `status` has `--watch`.

Each fault is one line on stderr with exit status 1; a damaged span line is named by file and line and passed over.

--- /dev/null
+++ b/packages/client/src/laburnumford_client/explain.py
@@ -0,0 +1,134 @@
+"""The command that explains where a call would go."""
+
+import asyncio
+import json
+from typing import Any
+
+import click
+
+from laburnumford_client import document, page_reader, status_tables, terminal
+
+_LEFT_OUT_BY_STATE = {
+    "failing": "left out: recent calls failed; a trial call now and then",
+    "overdue": "left out: calls are overdue; a trial call now and then",
+}
+
+
+@click.command()
+@click.argument("address", metavar="NODE_ADDRESS", callback=page_reader.check_address)
+@click.argument("service")
+@click.option("--json", "as_json", is_flag=True, help="Write a JSON document.")
+@click.option(
+    "--timeout",
+    "timeout_s",
+    type=click.FloatRange(min=0.1, max=600),
+    default=5.0,
+    show_default=True,
+    help="Wait for the answer of the node, in seconds.",
+)
+def explain(address: str, service: str, as_json: bool, timeout_s: float) -> None:
+    """Shows where the node at NODE_ADDRESS would send a call to SERVICE, and why.
+
+    The rows are the servers that the node can choose, the most likely ones first, as the node
+    sees them now. Another node can see them differently.
+    """
+    explained = asyncio.run(_read(address, service, timeout_s))
+    if as_json:
+        click.echo(json.dumps(explained, indent=2))
+        return
+    console = terminal.make()
+    console.print(
+        f"node {explained['node']}, zone {explained['zone']}, version {explained['version']},"
+        f" chooser {explained['chooser'] or '-'}",
+        markup=False,
+    )
+    made = status_tables.make(
+        f"Servers of {document.printable(service)}".replace("[", "\\["),
+        "server",
+        "state",
+        "estimate",
+        "outstanding",
+        "failures",
+        "report age",
+        "service time",
+        "why",
+    )
+    for server in explained["servers"]:
+        status_tables.row(
+            made,
+            server["name"],
+            server["state"],
+            _milliseconds(server["estimate_s"]),
+            server["outstanding"],
+            f"{server['failure_score']:.2f}",
+            _milliseconds(server["report_age_s"]),
+            _milliseconds(server["service_time_s"]),
+            server["why"],
+        )
+    console.print(made)
+    for kind in ("leaving", "silent"):
+        if explained[kind]:
+            console.print(f"{kind}, of any service: {', '.join(explained[kind])}", markup=False)
+
+
+async def _read(address: str, service: str, timeout_s: float) -> dict[str, Any]:
+    reader = page_reader.PageReader(timeout_s=timeout_s)
+    page = await reader.read(address, "/explain", {"service": service})
+    status = await reader.read(address, "/status")
+    fleet = status.section("fleet")
+    own_server = status.text("backend_server")
+    servers = sorted(
+        (_server(entry) for entry in page.sections("servers")),
+        key=lambda server: (
+            server["state"] in _LEFT_OUT_BY_STATE,
+            server["estimate_s"] is None,
+            server["estimate_s"] or 0.0,
+            server["outstanding"],
+            server["name"],
+        ),
+    )
+    lowest_s = next((each["estimate_s"] for each in servers), None)
+    for server in servers:
+        server["own"] = server["name"] == own_server
+        server["why"] = _why(server, lowest_s)
+    return {
+        "address": address,
+        "service": service,
+        "node": status.text("node"),
+        "zone": status.text("zone"),
+        "version": fleet.integer("version"),
+        "chooser": status.text("chooser") if status.has("chooser") else None,
+        "servers": servers,
+        "leaving": fleet.texts("leaving"),
+        "silent": fleet.texts("silent"),
+    }
+
+
+def _server(entry: document.Document) -> dict[str, Any]:
+    return {
+        "name": entry.text("name"),
+        "state": entry.text("state"),
+        "estimate_s": entry.optional_number("estimate_s"),
+        "outstanding": entry.integer("outstanding"),
+        "failure_score": entry.number("failure_score"),
+        "report_age_s": entry.optional_number("report_age_s"),
+        "service_time_s": entry.optional_number("service_time_s"),
+    }
+
+
+def _why(server: dict[str, Any], lowest_s: float | None) -> str:
+    """Returns what decides about a server, in the terms of the choosers."""
+    own = "; own server, preferred while it has capacity" if server["own"] else ""
+    left_out = _LEFT_OUT_BY_STATE.get(server["state"])
+    if left_out is not None:
+        return left_out + own
+    if server["estimate_s"] is None or lowest_s is None:
+        return "this chooser makes no estimates" + own
+    ramp = "slow start, takes a part of its calls; " if server["state"] == "ramping" else ""
+    over_s = server["estimate_s"] - lowest_s
+    compared = "lowest estimate" if over_s <= 0 else f"{_milliseconds(over_s)} above the lowest"
+    return ramp + compared + own
+
+
+def _milliseconds(value_s: float | None) -> str | None:
+    return None if value_s is None else f"{value_s * 1000:.1f} ms"
--- a/packages/client/src/laburnumford_client/main.py
+++ b/packages/client/src/laburnumford_client/main.py
@@ -4,23 +4,26 @@
 
 import click
 
-from laburnumford_client import bundle, check
+from laburnumford_client import bundle, check, explain, status, trace
 from laburnumford_objects import errors
 
 
 @click.group()
 def commands() -> None:
-    """Checks and publishes the objects of a workspace."""
+    """Checks and publishes the objects of a workspace, and shows what its nodes report."""
 
 
 commands.add_command(check.check)
 commands.add_command(bundle.bundle)
+commands.add_command(status.status)
+commands.add_command(explain.explain)
+commands.add_command(trace.trace)
 
 
 def main() -> None:
     """Runs the client and exits with 0 on success, or else with 1 and the errors on stderr."""
     try:
-        status = commands.main(prog_name="laburnumford", standalone_mode=False)
+        failed = commands.main(prog_name="laburnumford", standalone_mode=False)
     except click.ClickException as error:
         error.show()
         sys.exit(1)
@@ -29,4 +32,4 @@
     except errors.LaburnumfordError as error:
         click.echo(str(error), err=True)
         sys.exit(1)
-    sys.exit(1 if status else 0)
+    sys.exit(1 if failed else 0)
