Name the fault once when a node cannot be reached

Cause: the text of aiohttp repeats the address and says "ssl:default" for plain HTTP. Change: the client prints the reason of the operating system only.

--- a/packages/client/src/laburnumford_client/page_reader.py
+++ b/packages/client/src/laburnumford_client/page_reader.py
@@ -56,8 +56,9 @@
                     f"{address}: no answer to GET {path} within {self._timeout_s:g} s"
                 ) from error
             except (aiohttp.ClientError, OSError, ValueError) as error:
-                reason = document.printable(str(error) or type(error).__name__)[:200]
-                raise errors.PageError(f"{address}: cannot read GET {path}: {reason}") from error
+                raise errors.PageError(
+                    f"{address}: cannot read GET {path}: {_reason(error)}"
+                ) from error
         if status != 200:
             raise errors.PageError(
                 f"{address}: GET {path}: found status {status}{_detail(body)}; allowed: 200"
@@ -116,6 +117,13 @@
         ) from error
 
 
+def _reason(error: Exception) -> str:
+    if isinstance(error, aiohttp.ClientConnectorError):
+        # The text of the library repeats the address in its own form.
+        return document.printable(error.strerror or "no connection")
+    return document.printable(str(error) or type(error).__name__)[:200]
+
+
 def _refuse_constant(name: str) -> NoReturn:
     raise ValueError(f"found {name}; allowed: a JSON number")
 
