Warn when a node listens on an address that is not private

Cause: operators' pages, peer and control listeners do not authenticate, and a node said nothing when one of them was open to other networks.

--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -14,6 +14,7 @@
     adjacent,
     dispatch,
     edge,
+    exposure,
     metrics,
     pages,
     peer,
@@ -166,6 +167,8 @@
 
     async def start(self) -> None:
         """Learns the version in force, then takes calls."""
+        for text in exposure.warnings(self._settings):
+            _LOG.warning("node: %s", text)
         await self._pages.start()
         await self._fleet.start()
         await self._peer_server.start()
