--- a/packages/client/src/laburnumford_client/tests/conftest.py
+++ b/packages/client/src/laburnumford_client/tests/conftest.py
@@ -12,6 +12,13 @@
 EXAMPLES = pathlib.Path(__file__).parents[5] / "examples"
 
 
+class _QuietServer(http.server.ThreadingHTTPServer):
+    """Does not print that a client closed the connection, which the tests read as output."""
+
+    def handle_error(self, request, client_address):
+        pass
+
+
 @pytest.fixture
 def run_main(monkeypatch, capsys):
     """Returns a function that runs the client here and returns status, output and errors."""
@@ -44,7 +51,7 @@
             def log_message(self, *arguments: object) -> None:
                 """Keeps standard error free for the errors of the client."""
 
-        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        server = _QuietServer(("127.0.0.1", 0), Handler)
         servers.append(server)
         threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.01}).start()
         return f"127.0.0.1:{server.server_address[1]}"
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -5,6 +5,7 @@
 import gc
 import logging
 import random
+import secrets
 import time
 from collections.abc import Mapping
 from typing import Any
@@ -62,7 +63,8 @@
             node=settings.backend_server,
             path=settings.trace.path,
             sample_ratio=settings.trace.sample_ratio,
-            generator=self._generator,
+            # Nodes with the same seed must not give different calls the same trace id.
+            generator=random.Random(secrets.randbits(64)),
         )
         self._build_path()
         self._pages = pages.Pages(
