Drop requests whose time passed while a node was paused; bound calls between nodes

Cause: test_pauses showed 103 lookups that ran up to 0.6 s after their callers' deadline: bytes waited in the kernel of a paused node and were dated when it read them. A node waited without bound for a paused peer. Under a load average of 37 each hello took over 0.25 s and every call got no-server. Ruled out: the connection guard between nodes, which counts the pause as transit. Change: a stall clock dates requests from the start of a pause, also those read shortly after it; the deadline is checked again before a request is handed on; calls to peers and streamed answers end at the deadline; a slow hello is repeated instead of failing. The header path makes one pass over the fields.

--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -115,6 +115,14 @@
             self._release_slot(started_s, choice.Result.CANCELLED)
             raise
 
+        if self._clock() >= deadline_s:
+            # The process may have been paused between the admission and here.
+            self._connections.release(self._address, connection)
+            self._release_slot(started_s, choice.Result.CANCELLED)
+            raise errors.RefusedError(
+                reason.Reason.DEADLINE, "the deadline passed before the request was handed on"
+            )
+
         def release(whole: bool) -> None:
             self._connections.release(self._address, connection)
             self._release_slot(
--- a/packages/node/src/laburnumford_node/edge.py
+++ b/packages/node/src/laburnumford_node/edge.py
@@ -12,6 +12,7 @@
     problem,
     reason,
     relay,
+    stall_clock,
     ticket_desk,
     tracing,
     view,
@@ -37,6 +38,7 @@
         current: returns the view in force, or None before the first one.
         tracer: starts spans.
         counters: metrics of the node.
+        stalls: dates requests that waited while the process was paused.
         clock: monotonic clock in seconds.
     """
 
@@ -48,6 +50,7 @@
         current: Callable[[], view.View | None],
         tracer: tracing.Tracer,
         counters: metrics.Metrics,
+        stalls: stall_clock.StallClock,
         clock: Callable[[], float],
     ) -> None:
         self._dispatcher = dispatcher
@@ -55,6 +58,7 @@
         self._current = current
         self._tracer = tracer
         self._metrics = counters
+        self._stalls = stalls
         self._clock = clock
         self.draining = False
 
@@ -82,8 +86,8 @@
         connection: server_connection.ServerConnection,
         deadline_s: float | None,
     ) -> None:
-        started_s = self._clock()
-        span = self._tracer.start("edge", fields.get(received.fields, header_names.TRACEPARENT))
+        started_s = self._stalls.received_at()
+        span = self._tracer.start("edge", received.value_by_name.get(header_names.TRACEPARENT))
         service, priority, result = "", "", "cancelled"
         try:
             matched, resolved = self._route(received)
@@ -119,7 +123,7 @@
             raise errors.RefusedError(
                 reason.Reason.NO_CONFIGURATION, "no published set is in force yet"
             )
-        host = (fields.get(received.fields, b"host") or b"").decode("latin-1")
+        host = (received.value_by_name.get(b"host") or b"").decode("latin-1")
         matched = current.routes.match(received.method.decode(), host, received.path)
         if matched is None:
             raise errors.RefusedError(
@@ -163,7 +167,7 @@
         self, ongoing_call: call.Call, connection: server_connection.ServerConnection
     ) -> None:
         received = ongoing_call.received
-        key = fields.get(received.fields, header_names.IDEMPOTENCY_KEY)
+        key = received.value_by_name.get(header_names.IDEMPOTENCY_KEY)
         has_ticket = key is not None and key.startswith(_TICKET_PREFIX)
         if _needs_ticket(ongoing_call) and not has_ticket:
             raise self._tickets.refuse_without_ticket()
@@ -171,7 +175,13 @@
             await self._tickets.answer(ongoing_call, key.decode("latin-1"), connection)
             return
         ongoing = await self._dispatcher.dispatch(ongoing_call, _forwarder(received, connection))
-        await relay.relay(ongoing, received, connection, relay.caller_head(ongoing.answer))
+        await relay.relay(
+            ongoing,
+            received,
+            connection,
+            relay.caller_head(ongoing.answer),
+            ongoing_call.deadline_s,
+        )
 
     def _write_problem(
         self,
@@ -218,7 +228,7 @@
 
 
 def _integer(received: request.Request, name: bytes, default: int) -> int:
-    value = fields.get(received.fields, name)
+    value = received.value_by_name.get(name)
     if value is None:
         return default
     if not value.isdigit() or len(value) > _MAX_HEADER_DIGITS:
@@ -231,8 +241,7 @@
 
 
 def _forwarded_head(received: request.Request) -> list[fields.Field]:
-    head = fields.without_laburnumford(fields.end_to_end(received.fields), frozenset())
-    return [field for field in head if field[0] not in _REPLACED]
+    return fields.forwarded(received.fields, drop=_REPLACED)
 
 
 _REPLACED = frozenset({header_names.TRACEPARENT, b"expect"})
@@ -253,7 +262,7 @@
     def forward(status: int, head: object) -> None:
         if isinstance(head, list):
             connection.write_informational(
-                fields.encode(problem.start_line(status), fields.end_to_end(head))
+                fields.encode(problem.start_line(status), fields.forwarded(head))
             )
 
     return forward
--- a/packages/node/src/laburnumford_node/http/fields.py
+++ b/packages/node/src/laburnumford_node/http/fields.py
@@ -18,6 +18,8 @@
 )
 """Fields that describe one connection (RFC 9110, section 7.6.1)."""
 
+_NOT_FORWARDED = HOP_BY_HOP | {b"content-length"}
+
 LABURNUMFORD_PREFIX = b"laburnumford-"
 
 
@@ -31,33 +33,37 @@
 
 def connection_options(fields: Iterable[Field]) -> frozenset[bytes]:
     """Returns the lower-case options of all Connection fields."""
-    options: set[bytes] = set()
-    for name, value in fields:
-        if name == b"connection":
-            options.update(option.strip().lower() for option in value.split(b","))
-    return frozenset(options)
-
-
-def end_to_end(fields: Sequence[Field]) -> list[Field]:
-    """Returns the fields that may be forwarded.
-
-    Drops the hop-by-hop fields, those that Connection names, and the framing
-    field Content-Length, which the sender of each hop writes itself.
+    values = [value for name, value in fields if name == b"connection"]
+    if not values:
+        return frozenset()
+    return frozenset(option.strip().lower() for value in values for option in value.split(b","))
+
+
+def forwarded(
+    fields: Sequence[Field],
+    *,
+    keep: frozenset[bytes] = frozenset(),
+    drop: frozenset[bytes] = frozenset(),
+) -> list[Field]:
+    """Returns the fields that go on to the next hop.
+
+    Leaves out the hop-by-hop fields, those that Connection names, the framing field
+    Content-Length, which the sender of each hop writes itself, and the system's own
+    fields.
+
+    Args:
+        fields: received fields, names in lower case.
+        keep: own fields that go on all the same.
+        drop: further fields that are left out.
     """
-    dropped = connection_options(fields)
-    return [
-        field
-        for field in fields
-        if field[0] not in HOP_BY_HOP and field[0] != b"content-length" and field[0] not in dropped
-    ]
-
-
-def without_laburnumford(fields: Iterable[Field], keep: frozenset[bytes]) -> list[Field]:
-    """Returns the fields without the system's own ones, except those in `keep`."""
+    named = connection_options(fields)
     return [
         field
         for field in fields
-        if not field[0].startswith(LABURNUMFORD_PREFIX) or field[0] in keep
+        if field[0] not in _NOT_FORWARDED
+        and field[0] not in drop
+        and field[0] not in named
+        and (not field[0].startswith(LABURNUMFORD_PREFIX) or field[0] in keep)
     ]
 
 
--- a/packages/node/src/laburnumford_node/http/request.py
+++ b/packages/node/src/laburnumford_node/http/request.py
@@ -14,6 +14,7 @@
         target: request target in origin form.
         version: ``"1.0"`` or ``"1.1"``.
         fields: header fields, names in lower case.
+        value_by_name: first value of each field.
         content_length: declared length in bytes, or None.
         chunked: whether the body uses the chunked transfer coding.
         keep_alive: whether the caller wants the connection kept open.
@@ -24,6 +25,7 @@
     target: bytes
     version: str
     fields: list[fields.Field]
+    value_by_name: dict[bytes, bytes]
     content_length: int | None
     chunked: bool
     keep_alive: bool
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -6,7 +6,7 @@
 import fcntl
 import sys
 import termios
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, cast
 
 import httptools
@@ -23,6 +23,7 @@
 _MAX_PIPELINED_REQUESTS = 1
 _MAX_FIELDS = 256
 _LINGER_S = 2.0
+_VERSIONS = frozenset({"1.0", "1.1"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -352,12 +353,19 @@
         version = self._parser.get_http_version()
         method = self._parser.get_method()
         received_fields = self._fields
-        content_length, chunked = _framing(received_fields, version)
-        _check_fields(received_fields, version)
-        if method == b"CONNECT" or fields.get(received_fields, b"upgrade") is not None:
+        # Reversed, so that the first of several values stays.
+        values = dict(reversed(received_fields))
+        content_length, chunked = _framing(values, version)
+        if len(values) < len(received_fields) or b"host" not in values:
+            _check_fields(received_fields, version)
+        if version not in _VERSIONS:
+            raise errors.BadMessageError(
+                505, f"HTTP/{version} is not supported; allowed: 1.0, 1.1"
+            )
+        if method == b"CONNECT" or b"upgrade" in values:
             raise errors.BadMessageError(501, "Upgrade and CONNECT are not supported")
         received_body = body.Body(self)
-        expects = fields.get(received_fields, b"expect")
+        expects = values.get(b"expect")
         if expects is not None and version == "1.1":
             if expects.lower() != b"100-continue":
                 raise errors.BadMessageError(417, f"Expect: {expects!r} is not supported")
@@ -367,6 +375,7 @@
             target=_origin_form(self._target),
             version=version,
             fields=received_fields,
+            value_by_name=values,
             content_length=content_length,
             chunked=chunked,
             keep_alive=self._parser.should_keep_alive(),
@@ -402,12 +411,12 @@
             self._request_waiter.set_result(None)
 
 
-def _framing(received: Sequence[fields.Field], version: str) -> tuple[int | None, bool]:
+def _framing(value_by_name: Mapping[bytes, bytes], version: str) -> tuple[int | None, bool]:
     """Returns the content length and whether the body is chunked.
 
     llhttp has refused duplicate lengths, and a length beside a transfer coding.
     """
-    coding = fields.get(received, b"transfer-encoding")
+    coding = value_by_name.get(b"transfer-encoding")
     if coding is not None:
         if version != "1.1":
             raise errors.BadMessageError(400, "Transfer-Encoding needs HTTP/1.1")
@@ -416,7 +425,7 @@
                 501, f"transfer coding {coding!r} is not supported; allowed: chunked"
             )
         return None, True
-    length = fields.get(received, b"content-length")
+    length = value_by_name.get(b"content-length")
     return (int(length) if length is not None else None), False
 
 
@@ -426,8 +435,6 @@
     for name, _ in received:
         hosts += name == b"host"
         codings += name == b"transfer-encoding"
-    if version not in {"1.0", "1.1"}:
-        raise errors.BadMessageError(505, f"HTTP/{version} is not supported; allowed: 1.0, 1.1")
     if hosts > 1 or (hosts == 0 and version == "1.1"):
         raise errors.BadMessageError(400, f"found {hosts} Host fields; allowed: 1")
     if codings > 1:
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -23,6 +23,7 @@
     prober,
     problem,
     service_state,
+    stall_clock,
     ticket_desk,
     tracing,
     view,
@@ -56,6 +57,7 @@
         self._drain_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = metrics.Metrics()
+        self._stalls = stall_clock.StallClock(clock=self._clock)
         self._fleet = fleets.Fleet(
             settings=settings, generator=self._generator, on_apply=self._apply
         )
@@ -141,6 +143,7 @@
             current=lambda: self._view,
             tracer=self._tracer,
             counters=self._metrics,
+            stalls=self._stalls,
             clock=clock,
         )
         self._peer = peer.PeerListener(
@@ -185,7 +188,11 @@
         await self._peer_server.start()
         await self._edge_server.start()
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._keep_house()), loop.create_task(self._prober.run())]
+        self._tasks = [
+            loop.create_task(self._keep_house()),
+            loop.create_task(self._prober.run()),
+            loop.create_task(self._stalls.run()),
+        ]
         # Objects that live as long as the process need no further collection runs.
         gc.collect()
         gc.freeze()
@@ -241,6 +248,7 @@
                 "last_answer_age_s": self._last_answer_age_s(),
             },
             "measuring": self._prober.status(),
+            "stalls": self._stalls.stalls_count,
             "connections": {
                 "edge": self._edge_server.connection_count,
                 "peer": self._peer_server.connection_count,
--- a/packages/node/src/laburnumford_node/peer.py
+++ b/packages/node/src/laburnumford_node/peer.py
@@ -17,6 +17,7 @@
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields, request, server_connection
+from laburnumford_policy.admission import priority as priorities
 from laburnumford_policy.once import attempt_guard, guard_verdict
 
 _NONCE_BYTES = 12
@@ -77,13 +78,13 @@
         except errors.RefusedError as error:
             self._refuse(connection, received, error)
             return
-        version = fields.get(received.fields, header_names.VERSION)
+        version = received.value_by_name.get(header_names.VERSION)
         if version is not None:
             self._on_peer_version(version)
-        if fields.get(received.fields, header_names.TARGET) == b"owner":
+        if received.value_by_name.get(header_names.TARGET) == b"owner":
             await self._owner_handler(received, connection, deadline_s)
             return
-        span = self._tracer.start("peer", fields.get(received.fields, header_names.TRACEPARENT))
+        span = self._tracer.start("peer", received.value_by_name.get(header_names.TRACEPARENT))
         try:
             await self._run(received, connection, deadline_s, span)
         finally:
@@ -115,7 +116,7 @@
             raise self._stale()
         now = self._clock()
         verdict = guard.check(
-            (fields.get(received.fields, header_names.CONNECTION) or b"").decode("latin-1"),
+            (received.value_by_name.get(header_names.CONNECTION) or b"").decode("latin-1"),
             _milliseconds(received, header_names.SENT_MS),
             _milliseconds(received, header_names.TIMEOUT_MS),
             now,
@@ -148,14 +149,16 @@
                 target=received.target,
                 head=self._server_head(received, deadline_s, span),
                 payload=payload,
-                priority=(fields.get(received.fields, header_names.PRIORITY) or b"lookup").decode(
-                    "latin-1"
-                ),
+                priority=_priority(received),
                 deadline_s=deadline_s,
                 on_informational=_forwarder(connection),
             )
             await relay.relay(
-                ongoing, received, connection, self._answer_head(ongoing.answer.fields)
+                ongoing,
+                received,
+                connection,
+                self._answer_head(ongoing.answer.fields),
+                deadline_s,
             )
         except errors.AttemptError as error:
             span.set("laburnumford.reason", error.why.label)
@@ -168,20 +171,14 @@
     def _server_head(
         self, received: request.Request, deadline_s: float, span: tracing.HopSpan
     ) -> list[fields.Field]:
-        head = fields.without_laburnumford(
-            fields.end_to_end(received.fields),
-            frozenset({header_names.ATTEMPTS, header_names.DEPTH}),
-        )
-        head = [field for field in head if field[0] not in _REPLACED]
+        head = fields.forwarded(received.fields, keep=_KEPT_TOWARDS_SERVER, drop=_REPLACED)
         left_ms = max(int((deadline_s - self._clock()) * 1000), 1)
         head.append((header_names.TIMEOUT_MS, b"%d" % left_ms))
         head.append((header_names.TRACEPARENT, span.traceparent()))
         return head
 
     def _answer_head(self, sent: list[fields.Field]) -> list[fields.Field]:
-        head = fields.without_laburnumford(
-            fields.end_to_end(sent), frozenset({header_names.DRAINING})
-        )
+        head = fields.forwarded(sent, keep=_KEPT_TOWARDS_NODE)
         head.append((header_names.LOAD, self._server.report().encode().encode()))
         head.append((header_names.VERSION, b"%d" % self._version()))
         return head
@@ -208,11 +205,24 @@
         )
 
 
+_KEPT_TOWARDS_SERVER = frozenset({header_names.ATTEMPTS, header_names.DEPTH})
+_KEPT_TOWARDS_NODE = frozenset({header_names.DRAINING})
 _REPLACED = frozenset({header_names.TRACEPARENT, b"expect"})
 
 
+def _priority(received: request.Request) -> str:
+    value = received.value_by_name.get(header_names.PRIORITY, b"").decode("latin-1")
+    if value not in priorities.RANK_BY_PRIORITY:
+        allowed = ", ".join(priorities.PRIORITIES)
+        raise errors.RefusedError(
+            reason.Reason.BAD_REQUEST,
+            f"field laburnumford-priority: found {value[:32]!r}; allowed: {allowed}",
+        )
+    return value
+
+
 def _milliseconds(received: request.Request, name: bytes) -> int:
-    value = fields.get(received.fields, name)
+    value = received.value_by_name.get(name)
     if value is None or not value.isdigit() or int(value) > _MAX_TIMEOUT_MS:
         raise errors.RefusedError(
             reason.Reason.BAD_REQUEST,
@@ -227,7 +237,7 @@
     def forward(status: int, head: object) -> None:
         if isinstance(head, list):
             connection.write_informational(
-                fields.encode(problem.start_line(status), fields.end_to_end(head))
+                fields.encode(problem.start_line(status), fields.forwarded(head))
             )
 
     return forward
--- a/packages/node/src/laburnumford_node/peer_client.py
+++ b/packages/node/src/laburnumford_node/peer_client.py
@@ -1,5 +1,6 @@
 """Calls to other nodes."""
 
+import asyncio
 import time
 from collections.abc import Callable, Sequence
 
@@ -11,31 +12,40 @@
 
 HELLO_TARGET = b"/.laburnumford/hello"
 
-_MAX_HELLO_S = 0.25
-"""A slower hello would make each request of the connection look that late."""
+_FAST_HELLO_S = 0.03
+"""Zones are 1.5 ms apart one way, and regions some tens of milliseconds."""
+
+_MAX_HELLOS = 3
 
 
 async def greet(connection: client_connection.ClientConnection) -> None:
     """Asks the peer for the nonce of a new connection.
 
+    The reply also starts the clock that transit delay is measured by. A slow reply
+    would make each request of the connection look that late, so the hello is repeated.
+
     Raises:
         HttpError: the peer did not answer as a node does.
     """
+    for _ in range(_MAX_HELLOS):
+        asked_s = time.monotonic()
+        connection.nonce = await _ask_nonce(connection)
+        # The peer stamped the hello before it replied. Counting from the reply makes a
+        # request look later than it is by at most the transit of the reply, never earlier.
+        connection.hello_at_s = time.monotonic()
+        if connection.hello_at_s - asked_s <= _FAST_HELLO_S:
+            return
+
+
+async def _ask_nonce(connection: client_connection.ClientConnection) -> bytes:
     connection.begin(b"GET")
-    asked_s = time.monotonic()
     connection.write(fields.encode(b"GET %b HTTP/1.1" % HELLO_TARGET, [(b"host", b"peer")]))
     connection.end_request()
     answer = await connection.answer()
     nonce = fields.get(answer.fields, header_names.CONNECTION)
     if answer.status != 204 or nonce is None:
         raise http_errors.BadMessageError(502, f"hello was answered with {answer.status}")
-    connection.nonce = nonce
-    replied_s = time.monotonic()
-    if replied_s - asked_s > _MAX_HELLO_S:
-        raise http_errors.BadMessageError(502, "hello took too long to measure transit delay by")
-    # The peer stamped the hello before it replied. Counting from the reply makes a
-    # request look later than it is by at most the transit of the reply, never earlier.
-    connection.hello_at_s = replied_s
+    return nonce
 
 
 class PeerClient:
@@ -92,6 +102,11 @@
 
         ongoing = exchange.Exchange(connection=connection, release=release)
         now = self._clock()
+        if now >= deadline_s:
+            self._connections.release(address, connection)
+            raise errors.NotWrittenError(
+                reason.Reason.DEADLINE, "the deadline passed before the request was sent"
+            )
         framed = [
             *head,
             (header_names.CONNECTION, connection.nonce),
@@ -99,14 +114,20 @@
             (header_names.TIMEOUT_MS, b"%d" % max(int((deadline_s - now) * 1000), 0)),
         ]
         try:
-            answer = await ongoing.send(
-                method=method,
-                target=target,
-                head=framed,
-                payload=payload,
-                ask_first=True,
-                on_informational=on_informational,
-            )
+            async with asyncio.timeout(deadline_s - now):
+                answer = await ongoing.send(
+                    method=method,
+                    target=target,
+                    head=framed,
+                    payload=payload,
+                    ask_first=True,
+                    on_informational=on_informational,
+                )
+        except TimeoutError as error:
+            ongoing.abandon()
+            raise errors.UnknownOutcomeError(
+                reason.Reason.TIMEOUT, f"the node at {address} did not answer before the deadline"
+            ) from error
         except http_errors.HttpError as error:
             ongoing.abandon()
             raise _translated(ongoing, connection, error) from error
--- a/packages/node/src/laburnumford_node/relay.py
+++ b/packages/node/src/laburnumford_node/relay.py
@@ -1,5 +1,6 @@
 """Streams an answer from an exchange to the connection of the caller."""
 
+import asyncio
 from collections.abc import Sequence
 
 from laburnumford_node import errors as node_errors
@@ -9,9 +10,7 @@
 
 def caller_head(answer: response.Response) -> list[fields.Field]:
     """Returns the end-to-end fields of an answer that callers see."""
-    return fields.without_laburnumford(
-        fields.end_to_end(answer.fields), header_names.KEPT_TOWARDS_CALLERS
-    )
+    return fields.forwarded(answer.fields, keep=header_names.KEPT_TOWARDS_CALLERS)
 
 
 def encode_head(
@@ -44,6 +43,7 @@
     received: request.Request,
     connection: server_connection.ServerConnection,
     head: Sequence[fields.Field],
+    deadline_s: float,
 ) -> None:
     """Relays the answer of `ongoing` to the caller and ends the exchange.
 
@@ -55,6 +55,7 @@
         received: request of the caller.
         connection: connection of the caller.
         head: end-to-end header fields for the caller.
+        deadline_s: time of the event loop by which the answer must have ended.
 
     Raises:
         UnknownOutcomeError: the answer broke off.
@@ -68,8 +69,16 @@
     encoded = encode_head(answer, received, head, close=close)
     whole = False
     try:
-        await _write_answer(answer, received, connection, encoded)
+        if answer.bodyless or (answer.body.received and not answer.chunked):
+            connection.write(encoded if answer.bodyless else encoded + answer.body.take())
+        else:
+            async with asyncio.timeout_at(deadline_s):
+                await _stream_answer(answer, received, connection, encoded)
         whole = True
+    except TimeoutError as error:
+        raise node_errors.UnknownOutcomeError(
+            reason.Reason.TIMEOUT, "the answer did not end before the deadline"
+        ) from error
     except errors.HttpError as error:
         connection.abort()
         raise node_errors.UnknownOutcomeError(
@@ -83,19 +92,13 @@
             ongoing.abandon()
 
 
-async def _write_answer(
+async def _stream_answer(
     answer: response.Response,
     received: request.Request,
     connection: server_connection.ServerConnection,
     encoded: bytes,
 ) -> None:
-    if answer.bodyless:
-        connection.write(encoded)
-        return
     chunked = answer.chunked and received.version == "1.1"
-    if answer.body.received and not chunked:
-        connection.write(encoded + answer.body.take())
-        return
     connection.write(encoded)
     while data := await answer.body.read():
         connection.write(fields.encode_chunk(data) if chunked else data)
--- /dev/null
+++ b/packages/node/src/laburnumford_node/tests/test_stall_clock.py
@@ -0,0 +1,55 @@
+"""Tests of the dating of requests after a stall."""
+
+import pytest
+
+from laburnumford_node import stall_clock
+
+
+@pytest.fixture
+def now():
+    """Returns a list whose only item is the time."""
+    return [100.0]
+
+
+@pytest.fixture
+def stalls(now):
+    """Returns a clock driven by `now`."""
+    return stall_clock.StallClock(clock=lambda: now[0])
+
+
+def test_request_without_a_stall_is_dated_now(now, stalls):
+    """Guards against requests that look old on a node that was not paused."""
+    now[0] = 100.02
+    stalls.tick()
+    now[0] = 100.03
+    assert stalls.received_at() == 100.03
+
+
+def test_request_read_before_the_first_tick_is_dated_from_the_pause(now, stalls):
+    """Guards against a request that runs long after its caller has given up."""
+    now[0] = 101.5
+    assert stalls.received_at() == 100.0
+
+
+def test_backlog_after_the_first_tick_is_dated_from_the_pause(now, stalls):
+    """Guards against requests that are accepted some turns of the event loop later."""
+    now[0] = 101.5
+    stalls.tick()
+    now[0] = 101.52
+    assert stalls.received_at() == 100.0
+    for at in (101.52, 101.54, 101.56, 101.58, 101.6):
+        now[0] = at
+        stalls.tick()
+    now[0] = 101.61
+    assert stalls.received_at() == 101.61
+    assert stalls.stalls_count == 1
+
+
+def test_late_ticks_extend_the_backlog(now, stalls):
+    """Guards against a busy node that takes longer than usual to read what waited."""
+    now[0] = 101.5
+    stalls.tick()
+    now[0] = 101.58
+    stalls.tick()
+    now[0] = 101.65
+    assert stalls.received_at() == 100.0
--- a/packages/node/src/laburnumford_node/ticket_desk.py
+++ b/packages/node/src/laburnumford_node/ticket_desk.py
@@ -169,7 +169,7 @@
         length = answer.content_length
         small = answer.bodyless or (length is not None and length <= _KEPT_ANSWER_BYTES)
         if not small:
-            await relay.relay(ongoing, ticketed.received, connection, head)
+            await relay.relay(ongoing, ticketed.received, connection, head, ticketed.deadline_s)
             self._book.finish(key, None, self._clock())
             return
         try:
@@ -225,7 +225,11 @@
                 reason.Reason.TICKET_OWNER_GONE, error.detail
             ) from error
         await relay.relay(
-            ongoing, ticketed.received, connection, relay.caller_head(ongoing.answer)
+            ongoing,
+            ticketed.received,
+            connection,
+            relay.caller_head(ongoing.answer),
+            ticketed.deadline_s,
         )
 
 
