--- a/packages/fleet/src/laburnumford_fleet/bench/__main__.py
+++ b/packages/fleet/src/laburnumford_fleet/bench/__main__.py
@@ -10,7 +10,7 @@
 import time
 from typing import Any
 
-from laburnumford_fleet.bench import _sets, _stand_in, _synthetic
+from laburnumford_fleet.bench import _stand_in, sets, synthetic
 from laburnumford_objects import bundle
 
 _MAX_NODES = 100
@@ -118,10 +118,10 @@
 
     async def _publish(self) -> int:
         version = self._published.version + 1 if self._published else 1
-        objects = _sets.small(self._ports, timeout_ms=1000 + version)
+        objects = sets.small(self._ports, timeout_ms=1000 + version)
         values = bundle.bundle(self._published, objects, version)
         self._values |= values
-        self._published = bundle.read(self._values, _sets.WORKSPACE)
+        self._published = bundle.read(self._values, sets.WORKSPACE)
         await self._stand_in.publish(values)
         return version
 
@@ -267,7 +267,7 @@
     parser.add_argument("--lost-s", type=float, default=20.0)
     arguments = parser.parse_args()
     asyncio.run(_Bench(arguments).run())
-    for record in _synthetic.measure(arguments.seed):
+    for record in synthetic.measure(arguments.seed):
         _write(record)
 
 
--- a/packages/fleet/src/laburnumford_fleet/bench/_node.py
+++ b/packages/fleet/src/laburnumford_fleet/bench/_node.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from laburnumford_fleet import fleet
-from laburnumford_fleet.bench import _sets
+from laburnumford_fleet.bench import sets
 
 
 def _print(record: dict[str, Any]) -> None:
@@ -36,7 +36,7 @@
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
     )
     node = fleet.Fleet(
-        settings=_sets.settings(
+        settings=sets.settings(
             index=arguments.index,
             port=arguments.port,
             platform_url=arguments.platform,
--- a/packages/fleet/src/laburnumford_fleet/bench/_sets.py
+++ b/packages/fleet/src/laburnumford_fleet/bench/sets.py
@@ -1,6 +1,6 @@
 """Synthetic sets of objects."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from laburnumford_objects import (
     backend_server,
@@ -18,6 +18,11 @@
 _REGIONS = 4
 
 
+def _host(index: int) -> str:
+    """Returns a loopback address, so that a node that connects to it leaves no machine."""
+    return f"127.{200 + (index >> 16)}.{index >> 8 & 255}.{index & 255}"
+
+
 def zones(count: int) -> dict[str, zone.Zone]:
     """Returns zones, spread over up to four regions."""
     return {
@@ -30,7 +35,7 @@
     *, index: int, zone_name: str, control_address: str, draining: bool = False, slots: int = 12
 ) -> backend_server.BackendServer:
     """Returns one backend server; only its control address is used."""
-    host = f"10.{index >> 16 & 255}.{index >> 8 & 255}.{index & 255}"
+    host = _host(index)
     return backend_server.BackendServer(
         name=f"server-{index}",
         address=f"{host}:8080",
@@ -59,19 +64,28 @@
     return _with_groups({"group-0": servers}, zone_count, timeout_ms)
 
 
-def large(*, servers: int, services: int, timeout_ms: int = 1000) -> object_set.ObjectSet:
-    """Returns a set of the target scale."""
+def large(
+    *,
+    servers: int,
+    services: int,
+    timeout_ms: int = 1000,
+    placed_by_name: Mapping[str, backend_server.BackendServer] | None = None,
+) -> object_set.ObjectSet:
+    """Returns a set of the target scale.
+
+    Args:
+        servers: number of backend servers.
+        services: number of services.
+        timeout_ms: timeout of the policy of all services.
+        placed_by_name: servers that take the place of the made ones of the same name.
+    """
+    placed = placed_by_name or {}
     names = sorted(zones(_ZONES))
     by_group: dict[str, list[backend_server.BackendServer]] = {}
     for index in range(servers):
-        host = f"10.{index >> 16 & 255}.{index >> 8 & 255}.{index & 255}"
-        by_group.setdefault(f"group-{index % services}", []).append(
-            server(
-                index=index,
-                zone_name=names[index % _ZONES],
-                control_address=f"{host}:8083",
-            )
-        )
+        host = _host(index)
+        made = server(index=index, zone_name=names[index % _ZONES], control_address=f"{host}:8083")
+        by_group.setdefault(f"group-{index % services}", []).append(placed.get(made.name, made))
     return _with_groups(
         {name: tuple(found) for name, found in by_group.items()}, _ZONES, timeout_ms
     )
--- a/packages/fleet/src/laburnumford_fleet/bench/_synthetic.py
+++ b/packages/fleet/src/laburnumford_fleet/bench/synthetic.py
@@ -9,7 +9,7 @@
 import time
 
 from laburnumford_fleet import _peer_snapshot, directory, overlay, version_store
-from laburnumford_fleet.bench import _node, _sets
+from laburnumford_fleet.bench import _node, sets
 from laburnumford_objects import bundle
 from laburnumford_objects import head as heads
 
@@ -42,12 +42,12 @@
 
 def _publish() -> tuple[bytes, list[bytes], list[tuple[bytes, bytes]]]:
     """Returns the first head, the parts of its snapshot and the heads and deltas that follow."""
-    objects = _sets.large(servers=SERVERS, services=SERVICES)
+    objects = sets.large(servers=SERVERS, services=SERVICES)
     values = bundle.bundle(None, objects, 1)
-    prefix = bundle.key_prefix(_sets.WORKSPACE)
+    prefix = bundle.key_prefix(sets.WORKSPACE)
     first = heads.Head.decode(values[f"{prefix}head"])
     parts = [values[f"{prefix}snapshot/1/{part}"] for part in range(1, first.snapshot_parts + 1)]
-    current = bundle.read(values, _sets.WORKSPACE)
+    current = bundle.read(values, sets.WORKSPACE)
     changes = []
     for version in range(2, 2 + _CHANGES):
         # One server of one group changes its slots, as a capacity change does.
@@ -75,7 +75,7 @@
         first, parts, changes = pickle.load(file)
     gc.collect()
     before_mb = _node.resident_mb()
-    store = version_store.VersionStore(workspace=_sets.WORKSPACE)
+    store = version_store.VersionStore(workspace=sets.WORKSPACE)
     started = time.perf_counter()
     store.apply_snapshot(parts, heads.Head.decode(first), node="bench")
     snapshot_ms = (time.perf_counter() - started) * 1000.0
--- a/packages/fleet/src/laburnumford_fleet/tests/harness.py
+++ b/packages/fleet/src/laburnumford_fleet/tests/harness.py
@@ -7,7 +7,7 @@
 import time
 
 from laburnumford_fleet import fleet
-from laburnumford_fleet.bench import _sets
+from laburnumford_fleet.bench import sets
 from laburnumford_objects import bundle, published
 
 
@@ -46,10 +46,10 @@
     def make(self, timeout_ms: int = 1000) -> dict[str, bytes]:
         """Returns the values of the next version, without publishing them."""
         version = self.published.version + 1 if self.published else 1
-        objects = _sets.small(self.ports, timeout_ms=timeout_ms + version)
+        objects = sets.small(self.ports, timeout_ms=timeout_ms + version)
         values = bundle.bundle(self.published, objects, version)
         self.values |= values
-        self.published = bundle.read(self.values, _sets.WORKSPACE)
+        self.published = bundle.read(self.values, sets.WORKSPACE)
         return values
 
     async def publish(self) -> int:
@@ -61,7 +61,7 @@
     async def start(self, *indexes: int, seeds: tuple[int, ...] = (0, 1)) -> None:
         """Starts nodes at the same time."""
         for index in indexes:
-            settings = _sets.settings(
+            settings = sets.settings(
                 index=index,
                 port=self.ports[index],
                 platform_url=self.stand_in.url,
--- a/packages/fleet/src/laburnumford_fleet/tests/test_faults.py
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_faults.py
@@ -7,11 +7,11 @@
 import pytest
 
 from laburnumford_fleet import channel, errors
-from laburnumford_fleet.bench import _sets
+from laburnumford_fleet.bench import sets
 from laburnumford_fleet.tests import harness
 from laburnumford_objects import bundle
 
-_PREFIX = bundle.key_prefix(_sets.WORKSPACE)
+_PREFIX = bundle.key_prefix(sets.WORKSPACE)
 
 
 @pytest.fixture
--- a/packages/fleet/src/laburnumford_fleet/tests/test_version_store.py
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_version_store.py
@@ -7,11 +7,11 @@
 from hypothesis import stateful, strategies
 
 from laburnumford_fleet import errors, messages, version_store
-from laburnumford_fleet.bench import _sets
+from laburnumford_fleet.bench import sets
 from laburnumford_objects import bundle
 from laburnumford_objects import head as heads
 
-_PREFIX = bundle.key_prefix(_sets.WORKSPACE)
+_PREFIX = bundle.key_prefix(sets.WORKSPACE)
 _LAST = 40
 
 
@@ -26,10 +26,10 @@
     values: dict[str, bytes] = {}
     previous = None
     for version in range(1, _LAST + 1):
-        objects = _sets.small(range(9001, 9007), timeout_ms=1000 + version)
+        objects = sets.small(range(9001, 9007), timeout_ms=1000 + version)
         values |= bundle.bundle(previous, objects, version)
         values[f"{_PREFIX}head/{version}"] = values[f"{_PREFIX}head"]
-        previous = bundle.read(values, _sets.WORKSPACE)
+        previous = bundle.read(values, sets.WORKSPACE)
     return values
 
 
@@ -49,7 +49,7 @@
 
 
 def _store() -> version_store.VersionStore:
-    return version_store.VersionStore(workspace=_sets.WORKSPACE)
+    return version_store.VersionStore(workspace=sets.WORKSPACE)
 
 
 def _at(history, version: int) -> version_store.VersionStore:
@@ -261,7 +261,7 @@
 
 def _peer_head(version: int, digest: bytes, parts: int) -> heads.Head:
     return heads.Head(
-        workspace=_sets.WORKSPACE,
+        workspace=sets.WORKSPACE,
         version=version,
         digest=digest.hex(),
         snapshot_version=version,
