Size the read limit when a version is applied

Cause: the limit of a starting node admits 4 reads before the size of the fleet is known, and one in 10 s after them.

Ruled out: the wait between peers; two nodes that only read the platform showed the same 10 s.

Change: a version that changes the set of nodes sizes the limit at once.

--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -297,6 +297,9 @@
             )
             self._set_number += 1
             self._set_neighbours()
+            # The deltas after a snapshot are read next; without the size of the fleet each of
+            # them waits 10 s once the reads of the start are used up.
+            self._resize_limit()
         self._spread.wake()
         self._confirm()
         if self._on_apply is not None:
--- a/packages/fleet/src/laburnumford_fleet/tests/test_fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_fleet.py
@@ -100,6 +100,14 @@
     assert cluster.applied[2] == [17, 20]
 
 
+async def test_deltas_after_a_snapshot_do_not_wait_for_the_list_of_vms(cluster):
+    """Guards against 10 s per delta when the list of VMs does not tell the size of the fleet."""
+    for _ in range(20):
+        await cluster.publish()
+    await cluster.start(0)
+    await harness.until(lambda: cluster.versions() == {20}, 5.0)
+
+
 async def test_listed_leaving_reaches_nodes_that_do_not_read_the_list(cluster, monkeypatch):
     """Guards against work for a VM that only the readers know to leave (P5)."""
     await cluster.publish()
