Read the platform when half of the neighbours are silent

Cause: a node read the platform itself only when all its neighbours were silent. Nodes of a small part of the fleet that is cut off, none of them a reader, answered each other and never read, so a change did not reach them although the platform was reachable.

Change: half of the overlay neighbours silent for 5 s make a node read.

--- a/packages/fleet/src/laburnumford_fleet/fleet.py
+++ b/packages/fleet/src/laburnumford_fleet/fleet.py
@@ -33,7 +33,7 @@
 _TICK_S = 1.0
 # A tick that is this late shows that the process was paused.
 _PAUSE_S = 2.0
-# All neighbours silent for this long: the node reads the platform itself.
+# Half of the neighbours silent for this long: the node reads the platform itself.
 _FALLBACK_AFTER_S = 5.0
 _METER_INTERVAL_S = 5.0
 _URGENT_DELAY_S = 0.1
@@ -398,8 +398,13 @@
         if not self.version or not self._spread.neighbours:
             return platform_mode.PlatformMode.POLL
         now = time.monotonic()
-        silent = all(_silent(found, now) for found in self._overlay_neighbours())
-        return platform_mode.PlatformMode.POLL if silent else platform_mode.PlatformMode.OFF
+        overlay_neighbours = self._overlay_neighbours()
+        silent = sum(_silent(found, now) for found in overlay_neighbours)
+        # A part of the fleet that is cut off may contain no reader. Most links of a node of a
+        # small part lead out of it, so half of the neighbours silent makes a node read.
+        if 2 * silent >= len(overlay_neighbours):
+            return platform_mode.PlatformMode.POLL
+        return platform_mode.PlatformMode.OFF
 
     async def _tick_loop(self) -> None:
         last = time.monotonic()
--- a/packages/fleet/src/laburnumford_fleet/tests/test_faults.py
+++ b/packages/fleet/src/laburnumford_fleet/tests/test_faults.py
@@ -1,12 +1,13 @@
 """Tests of faults of the platform, the network and the nodes, with several Fleet objects."""
 
 import asyncio
+import time
 
 import grpc.aio
 import msgspec
 import pytest
 
-from laburnumford_fleet import channel, errors
+from laburnumford_fleet import channel, errors, overlay, readers
 from laburnumford_fleet.bench import sets
 from laburnumford_fleet.tests import harness
 from laburnumford_objects import bundle
@@ -208,3 +209,37 @@
         if task.get_name().startswith(("fleet ", "neighbour "))
     ]
     assert own == []
+
+
+async def test_part_of_the_fleet_without_readers_reads_the_platform(stand_in):
+    """Guards against two nodes that reach only each other and the platform, but never read it."""
+    cluster = harness.Cluster(stand_in, 40)
+    zones_by_name = {f"server-{index}": f"zone-{index % 3}" for index in range(40)}
+    epoch = readers.epoch(wall_s=time.time())
+    reading = frozenset().union(
+        *(
+            readers.choose(names=zones_by_name, zones=3, epoch_number=epoch + number)
+            for number in (0, 1)
+        )
+    )
+    links = overlay.links(zones_by_name=zones_by_name)
+    pair = next(
+        (name, other)
+        for name in sorted(zones_by_name.keys() - reading)
+        for other in sorted(links[name] - reading)
+    )
+    indexes = [int(name.removeprefix("server-")) for name in pair]
+    await cluster.publish()
+    await cluster.start(*indexes, seeds=tuple(indexes))
+    try:
+        await harness.until(
+            lambda: cluster.versions() == {1} and all(map(_is_connected, cluster.fleets.values()))
+        )
+        await cluster.publish()
+        await harness.until(lambda: cluster.versions() == {2}, 20.0)
+    finally:
+        await cluster.stop(*indexes)
+
+
+def _is_connected(node) -> bool:
+    return any(entry["connected"] for entry in node.status()["neighbours"])
