Add negative controls for the judge

Cause: nothing showed that the judge finds a violation in a running system, so a test without findings could have been empty.

Cluster takes the command of its nodes; the collection of measuring logs moves from the demo to processes.measuring_log.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BENCH ?= path
 WORKERS ?= 4
 
-.PHONY: env format lint test demo bench
+.PHONY: env format lint test demo bench controls scenarios
 
 env: $(VENV)/installed
 
@@ -33,3 +33,6 @@
 
 bench: env
 	$(BIN)/python -m laburnumford_testkit.bench $(BENCH)
+
+controls: env
+	$(BIN)/python -m laburnumford_testkit.controls
--- a/packages/testkit/src/laburnumford_testkit/demo/deployment_run.py
+++ b/packages/testkit/src/laburnumford_testkit/demo/deployment_run.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import collections
-import contextlib
 import pathlib
 import time
 from collections.abc import Callable
 
-from laburnumford_objects import deployment, object_set
-from laburnumford_testkit import errors
+from laburnumford_objects import deployment
 from laburnumford_testkit.caller import caller as caller_module
 from laburnumford_testkit.caller import load, pool, record, summary
 from laburnumford_testkit.demo import outcome as outcome_module
@@ -16,6 +14,7 @@
 from laburnumford_testkit.judge import evidence, finding, judge
 from laburnumford_testkit.judge import measuring as measuring_module
 from laburnumford_testkit.processes import cluster as cluster_module
+from laburnumford_testkit.processes import measuring_log
 
 _OBSERVE_S = 0.5
 _MIN_ANSWERED_SHARE = 0.95
@@ -76,7 +75,7 @@
             connections.close()
         measured_s = time.monotonic() - began
         await cluster.observe_versions()
-        measuring = await _measuring(cluster)
+        measuring = await measuring_log.collect(cluster)
         seen = evidence.Evidence(
             runs=cluster.runs(),
             records=tuple(made.records),
@@ -129,31 +128,6 @@
     return f"{1000 * (time.monotonic() - began):.0f}"
 
 
-async def _measuring(cluster: cluster_module.Cluster) -> tuple[measuring_module.Measuring, ...]:
-    """Returns the measuring requests that each backend server has counted."""
-    found = []
-    for name in cluster.servers_by_name:
-        with contextlib.suppress(errors.TestkitError):
-            budget = _budget(cluster.objects, cluster.service_by_server[name])
-            found.append(
-                measuring_module.Measuring(
-                    server=name,
-                    probes=await cluster.backend(name).measuring(),
-                    calls_per_s=budget[0],
-                    bytes_per_s=budget[1],
-                )
-            )
-    return tuple(found)
-
-
-def _budget(objects: object_set.ObjectSet, service: str) -> tuple[float, float]:
-    """Returns the measuring budget of a service as calls and bytes per second."""
-    policy = objects.policies_by_name[objects.services_by_name[service].policy]
-    while policy.extends is not None and "measuring" not in policy.model_fields_set:
-        policy = objects.policies_by_name[policy.extends]
-    return policy.measuring.calls_per_s, policy.measuring.bytes_per_s
-
-
 def _kinds(
     scenario: scenario_module.Scenario,
     cluster: cluster_module.Cluster,
@@ -211,7 +185,7 @@
         of_service = [one for one in measuring if cluster.service_by_server[one.server] == service]
         seconds = max(1, len(of_service)) * measured_s
         probes = [probe for one in of_service for probe in one.probes]
-        allowed_calls, allowed_bytes = _budget(cluster.objects, service)
+        allowed_calls, allowed_bytes = measuring_log.budget(cluster.objects, service)
         found.append(
             outcome_module.MeasuringOutcome(
                 service=service,
--- a/packages/testkit/src/laburnumford_testkit/processes/__init__.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/__init__.py
@@ -3,10 +3,11 @@
 from laburnumford_testkit.processes import (
     addresses,
     cluster,
+    measuring_log,
     node_client,
     peers,
     process,
     publisher,
 )
 
-__all__ = ["addresses", "cluster", "node_client", "peers", "process", "publisher"]
+__all__ = ["addresses", "cluster", "measuring_log", "node_client", "peers", "process", "publisher"]
--- a/packages/testkit/src/laburnumford_testkit/processes/cluster.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/cluster.py
@@ -42,6 +42,7 @@
         proxied: kinds of connections that pass a fault proxy in this process, of `PROXIED`:
             `backend` from a node to its server, `peer` and `control` to a node from others,
             `platform` from a node to the platform.
+        node_command: module of the nodes and its first arguments.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         backend_arguments_by_service: Mapping[str, Sequence[str]] | None = None,
         node_settings: Mapping[str, Any] | None = None,
         proxied: frozenset[str] = frozenset(),
+        node_command: Sequence[str] = ("laburnumford_node",),
     ) -> None:
         if proxied - PROXIED:
             unknown = ", ".join(sorted(proxied - PROXIED))
@@ -64,6 +66,7 @@
         self._seed = seed
         self._generator = random.Random(seed)
         self._proxied = proxied
+        self._node_command = tuple(node_command)
         self._arguments_by_service = dict(backend_arguments_by_service or {})
         self._node_settings = dict(node_settings or {})
         self._targets_by_proxy: dict[tuple[str, str], tuple[str, str]] = {}
@@ -184,8 +187,8 @@
             path.write_text(json.dumps(self._settings(name, index), indent=2), encoding="utf-8")
             self.nodes_by_name[name] = process_module.Process(
                 name=f"node-{name}",
-                module="laburnumford_node",
-                arguments=["--settings", str(path)],
+                module=self._node_command[0],
+                arguments=[*self._node_command[1:], "--settings", str(path)],
                 folder=self._folder,
                 ready=r"node: ready",
             )
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/processes/measuring_log.py
@@ -0,0 +1,33 @@
+"""Measuring requests that the backend servers of a cluster have counted."""
+
+import contextlib
+
+from laburnumford_objects import object_set
+from laburnumford_testkit import errors
+from laburnumford_testkit.judge import measuring
+from laburnumford_testkit.processes import cluster as cluster_module
+
+
+async def collect(cluster: cluster_module.Cluster) -> tuple[measuring.Measuring, ...]:
+    """Returns the measuring requests of each backend server that can be asked."""
+    found = []
+    for name in cluster.servers_by_name:
+        with contextlib.suppress(errors.TestkitError):
+            calls_per_s, bytes_per_s = budget(cluster.objects, cluster.service_by_server[name])
+            found.append(
+                measuring.Measuring(
+                    server=name,
+                    probes=await cluster.backend(name).measuring(),
+                    calls_per_s=calls_per_s,
+                    bytes_per_s=bytes_per_s,
+                )
+            )
+    return tuple(found)
+
+
+def budget(objects: object_set.ObjectSet, service: str) -> tuple[float, float]:
+    """Returns the measuring budget of a service as calls and bytes per second."""
+    policy = objects.policies_by_name[objects.services_by_name[service].policy]
+    while policy.extends is not None and "measuring" not in policy.model_fields_set:
+        policy = objects.policies_by_name[policy.extends]
+    return policy.measuring.calls_per_s, policy.measuring.bytes_per_s
