Keep refusals out of service times, and requests counted when slots change

Cause: adjacent.py released a request that the server refused as answered. 150 refusals took the mean service time from 30.7 ms to 0.07 ms, so that a recovered server looked slow to the limiter and a refusing one looked fast in its load reports. apply_limits replaced Admission and lost the count of running requests. Service times were not kept by priority because release got none.

Change: release gets REFUSED and the priority. Admission.apply and Limiter.apply take over a changed number of slots.

Ruled out: the limiter alone; the fixed limiter reports the same wrong service time.

Measured: in test_adjacent, service time after 150 refusals 0.07 ms before, unchanged at 30.7 ms after. 45 tests of node and admission pass.

--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -7,7 +7,7 @@
 
 from laburnumford_node import errors, exchange, header_names, reason
 from laburnumford_node import payload as payloads
-from laburnumford_node.http import client_connection, fields, pool
+from laburnumford_node.http import client_connection, fields, pool, response
 from laburnumford_node.http import errors as http_errors
 from laburnumford_policy import choice
 from laburnumford_policy.admission import admission as admissions
@@ -109,17 +109,20 @@
         try:
             connection = await self._connections.acquire(self._address)
         except http_errors.ConnectError as error:
-            self._release_slot(started_s, choice.Result.FAILED)
+            self._release_slot(started_s, choice.Result.FAILED, priority)
             raise errors.RefusedError(reason.Reason.SERVER_FAILED, str(error)) from error
         except BaseException:
-            self._release_slot(started_s, choice.Result.CANCELLED)
+            self._release_slot(started_s, choice.Result.CANCELLED, priority)
             raise
 
         def release(whole: bool) -> None:
             self._connections.release(self._address, connection)
-            self._release_slot(
-                started_s, choice.Result.ANSWERED if whole else choice.Result.CANCELLED
-            )
+            result = choice.Result.CANCELLED
+            if whole:
+                # The time of a refusal says nothing about the service time.
+                refused = _refused(ongoing.answer)
+                result = choice.Result.REFUSED if refused else choice.Result.ANSWERED
+            self._release_slot(started_s, result, priority)
 
         self.calls_count += 1
         ongoing = exchange.Exchange(connection=connection, release=release)
@@ -127,15 +130,12 @@
             ongoing, connection, method, target, head, payload, on_informational, deadline_s
         )
 
-    def apply_limits(self, *, slots: int, limiter_name: str) -> None:
-        """Takes over the published slots of the server, if they changed.
-
-        Requests that run or wait keep their place in the former admission and end there.
-        """
+    def apply_limits(self, *, slots: int) -> None:
+        """Takes over the published slots of the server, if they changed."""
         if slots == self._slots:
             return
         self._slots = slots
-        self._admission = admissions.Admission(slots=slots, limiter_name=limiter_name)
+        self._settle(self._admission.apply(slots, self._clock()))
 
     def observe_draining(self, draining: bool) -> None:
         """Takes over what the backend server says about itself."""
@@ -185,7 +185,7 @@
             raise
         self.last_answer_s = self._clock()
         self.observe_draining(fields.get(answer.fields, header_names.DRAINING) == b"1")
-        if fields.get(answer.fields, header_names.OUTCOME) == b"refused":
+        if _refused(answer):
             await ongoing.end(whole=True)
             raise errors.RefusedError(
                 reason.Reason.OVERLOADED, "the backend server refused the request"
@@ -232,13 +232,14 @@
         else:
             self._admission.cancel(entry_id, self._clock())
 
-    def _release_slot(self, started_s: float, result: choice.Result) -> None:
+    def _release_slot(self, started_s: float, result: choice.Result, priority: str = "") -> None:
         now = self._clock()
         self._settle(
             self._admission.release(
                 now=now,
                 service_time_s=now - started_s,
                 result=result,
+                priority=priority,
             )
         )
 
@@ -259,6 +260,10 @@
                 self._release_slot(self._clock(), choice.Result.CANCELLED)
 
 
+def _refused(answer: response.Response) -> bool:
+    return fields.get(answer.fields, header_names.OUTCOME) == b"refused"
+
+
 def _refusal(why: str) -> errors.RefusedError:
     return errors.RefusedError(
         _REASON_BY_REFUSAL.get(why, reason.Reason.OVERLOADED), "not admitted beside the server"
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -258,7 +258,7 @@
         self._view = self._views.build(objects, version)
         own = self._view.servers_by_name.get(self._settings.backend_server)
         if own is not None:
-            self._adjacent.apply_limits(slots=own.slots, limiter_name=self._settings.limiter)
+            self._adjacent.apply_limits(slots=own.slots)
         self._prober.apply(self._own_measuring(objects))
         self._states.apply()
         _LOG.info("node: version %d in force", version)
--- /dev/null
+++ b/packages/node/src/laburnumford_node/tests/test_adjacent.py
@@ -0,0 +1,111 @@
+"""Tests of the admission beside a backend server."""
+
+import asyncio
+import time
+
+import pytest
+
+from laburnumford_node import adjacent, errors, payload
+from laburnumford_node.http import pool
+from laburnumford_policy.admission import admission
+
+_ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+_REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nlaburnumford-outcome: refused\r\n"
+    b"laburnumford-reason: overloaded\r\n\r\n"
+)
+
+
+class Backend:
+    """Answers each request with `answer` after `work_s` seconds."""
+
+    def __init__(self):
+        self.answer = _ANSWER
+        self.work_s = 0.0
+
+    async def serve(self, reader, writer):
+        """Serves one connection."""
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(self.work_s)
+                writer.write(self.answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+@pytest.fixture
+async def beside():
+    """Returns a backend and the adjacent server of its node, with 2 slots."""
+    backend = Backend()
+    listener = await asyncio.start_server(backend.serve, "127.0.0.1", 0)
+    connections = pool.Pool(clock=time.monotonic, connect_timeout_s=1.0, idle_timeout_s=60.0)
+    host, port = listener.sockets[0].getsockname()
+    server = adjacent.AdjacentServer(
+        address=f"{host}:{port}",
+        admission=admission.Admission(slots=1, limiter_name="gradient"),
+        connections=connections,
+        clock=time.monotonic,
+    )
+    server.apply_limits(slots=2)
+    yield backend, server
+    connections.close()
+    listener.close()
+
+
+async def run(server, priority="lookup"):
+    """Runs one request to the end of its answer."""
+    ongoing = await server.run(
+        method=b"GET",
+        target=b"/",
+        head=[(b"host", b"x")],
+        payload=payload.Payload(content_length=None, data=b"", stream=None),
+        priority=priority,
+        deadline_s=time.monotonic() + 5.0,
+    )
+    await ongoing.end(whole=True)
+
+
+async def test_fast_refusals_do_not_make_a_server_look_fast(beside):
+    """Fails if a server that refused for a while counts as slow once it works again."""
+    backend, server = beside
+    backend.work_s = 0.03
+    for _ in range(5):
+        await run(server)
+    before = server.report()
+    backend.answer, backend.work_s = _REFUSAL, 0.0
+    for _ in range(150):
+        with pytest.raises(errors.RefusedError):
+            await run(server)
+    after = server.report()
+    assert after.service_time_us == before.service_time_us
+    assert (after.running, after.limit) == (0, 2)
+
+
+async def test_changed_slots_count_running_requests(beside):
+    """Fails if a published change of slots forgets the requests that run."""
+    backend, server = beside
+    backend.work_s = 0.2
+    running = [asyncio.create_task(run(server)) for _ in range(2)]
+    await asyncio.sleep(0.05)
+    server.apply_limits(slots=1)
+    assert server.report().running == 2
+    assert not server.has_capacity()
+    await asyncio.gather(*running)
+    assert server.report().running == 0
+    assert server.report().limit == 1
+
+
+async def test_service_times_are_kept_by_priority(beside):
+    """Fails if long uploads make lookups with short deadlines look late."""
+    backend, server = beside
+    for _ in range(5):
+        await run(server)
+    backend.work_s = 0.1
+    for _ in range(5):
+        await run(server, "upload")
+    times = server.admission._service_times
+    assert times.expected("lookup") < 0.05
+    assert times.expected("upload") > 0.08
--- a/packages/policy/src/laburnumford_policy/admission/admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/admission.py
@@ -142,6 +142,19 @@
         """
         return bool(self._waiting.remove_if(lambda waiting: waiting.entry_id == entry_id))
 
+    def apply(self, slots: int, now: float) -> changes.Changes:
+        """Takes over a changed number of slots and starts waiting entries if there are more.
+
+        Running requests go on and keep being counted, so that fewer slots are in force as
+        soon as enough of them have ended.
+
+        Raises:
+            ParameterError: the number of slots lies outside its range.
+        """
+        parameters.check("admission", {"slots": self._TABLE["slots"]}, {"slots": slots})
+        self._limiter.apply(slots)
+        return self._dispatch(now)
+
     def drain(self) -> None:
         """Refuses new requests from now on; waiting and running ones go on."""
         self._draining = True
--- a/packages/policy/src/laburnumford_policy/admission/aimd_limiter.py
+++ b/packages/policy/src/laburnumford_policy/admission/aimd_limiter.py
@@ -48,3 +48,9 @@
                 self._decreased = now
         else:
             self._limit = min(float(self._slots), self._limit + 1.0 / self._limit)
+
+    def apply(self, slots: int) -> None:
+        """Takes over a changed number of slots."""
+        parameters.check("aimd limiter", {"slots": self._TABLE["slots"]}, {"slots": slots})
+        self._limit = max(1.0, self._limit * slots / self._slots)
+        self._slots = slots
--- a/packages/policy/src/laburnumford_policy/admission/fixed_limiter.py
+++ b/packages/policy/src/laburnumford_policy/admission/fixed_limiter.py
@@ -24,3 +24,8 @@
 
     def observe(self, now: float, service_time_s: float, failed: bool, priority: str = "") -> None:
         """Ignores the observation."""
+
+    def apply(self, slots: int) -> None:
+        """Takes over a changed number of slots."""
+        parameters.check("fixed limiter", self._TABLE, {"slots": slots})
+        self._slots = slots
--- a/packages/policy/src/laburnumford_policy/admission/gradient_limiter.py
+++ b/packages/policy/src/laburnumford_policy/admission/gradient_limiter.py
@@ -66,3 +66,9 @@
         target = self._limit * gradient + self._headroom
         moved = self._limit + self._smoothing * (target - self._limit)
         self._limit = min(float(self._slots), max(1.0, moved))
+
+    def apply(self, slots: int) -> None:
+        """Takes over a changed number of slots."""
+        parameters.check("gradient limiter", {"slots": self._TABLE["slots"]}, {"slots": slots})
+        self._limit = max(1.0, self._limit * slots / self._slots)
+        self._slots = slots
--- a/packages/policy/src/laburnumford_policy/admission/limiter.py
+++ b/packages/policy/src/laburnumford_policy/admission/limiter.py
@@ -24,5 +24,9 @@
             priority: its priority. Service times are compared within a priority.
         """
 
+    @abc.abstractmethod
+    def apply(self, slots: int) -> None:
+        """Takes over a changed number of slots; an adapted limit keeps its share of them."""
+
 
 limiters: registry.Registry[Limiter] = registry.Registry("limiter")
--- a/packages/policy/src/laburnumford_policy/admission/probing_gradient_limiter.py
+++ b/packages/policy/src/laburnumford_policy/admission/probing_gradient_limiter.py
@@ -30,3 +30,8 @@
         super().observe(now, service_time_s, failed, priority)
         if not failed and self._check.useless(now, self._limit, 1.0 / self._baseline.ratio):
             self._limit = float(self._slots)
+
+    def apply(self, slots: int) -> None:
+        """Takes over a changed number of slots."""
+        super().apply(slots)
+        self._check = _decrease_check.DecreaseCheck(slots=slots, tolerance=self._tolerance)
--- a/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
@@ -166,3 +166,25 @@
         admit(two_slots, number)
         two_slots.release(0.0, 2.0, result.Result.CANCELLED)
     assert two_slots.report().service_time_us > 1_900_000
+
+
+@pytest.mark.parametrize("name", limiter.limiters.names())
+def test_changed_slots_keep_the_count_of_running_requests(name):
+    """Fails if a published change lets a server run more requests than it has slots."""
+    subject = admission.Admission(slots=4, limiter_name=name, queue_limit=9)
+    outcomes = [admit(subject, number).outcome for number in range(6)]
+    assert outcomes == [RUN] * 4 + [QUEUED] * 2
+    assert subject.apply(2, 0.1).started == ()
+    assert (subject.report().running, subject.report().limit) == (4, 2)
+    for _ in range(2):
+        assert subject.release(0.2, 0.1, ANSWERED).started == ()
+    assert subject.release(0.2, 0.1, ANSWERED).started == (4,)
+    assert subject.apply(6, 0.3).started == (5,)
+    assert subject.report().running == 3
+    assert subject.report().limit == 6
+
+
+def test_changed_slots_are_checked(two_slots):
+    """Fails if a server without slots gets requests that never start."""
+    with pytest.raises(errors.ParameterError):
+        two_slots.apply(0, 0.0)
