--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/system/test_paused_nodes.py
@@ -0,0 +1,23 @@
+"""Tests of calls to nodes that are paused."""
+
+from laburnumford_testkit.caller import call
+
+_SEED = 4
+_TIMEOUT_MS = 500
+_ALLOWED_S = 0.3  # scheduling of a loaded machine
+
+
+async def test_paused_node_holds_no_call_past_its_deadline(run_cluster, make_caller):
+    """Guards against a call that waits for a paused node until the caller gives up."""
+    caller = make_caller()
+    services = ["assay-results", "accounts"]
+    async with run_cluster("nordvarde", services=services, seed=_SEED) as running:
+        wanted = call.Call(path="/assay-results/1", timeout_ms=_TIMEOUT_MS)
+        entry = running.edge_address("accounts-1")
+        assert (await caller.call(wanted, entry)).status == 200
+        for number in range(1, 6):
+            running.nodes_by_name[f"assay-results-{number}"].pause()
+        record = await caller.call(wanted, entry)
+    assert record.answered is not None, record.error
+    assert (record.status, record.outcome) == (504, "unknown")
+    assert record.answered - record.sent < _TIMEOUT_MS / 1000 + _ALLOWED_S
