Keep the limit of a server that waits for its own nested calls

Cause: the gradient limiter took the wait for nested calls for a slow server. Fewer slots then lengthened that wait, up to the deadline, when the calls came back to the same servers. On a loaded machine a chain of 18 levels ended with a limit of 2 to 5 of 120 and 504 deadline.

Change: NestedWait measures at the adjacent node which part of the running requests waits for calls that enter its edge listener with a depth. The limiter does not see requests that waited for more than 20% of their time.

--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable, Sequence
 
-from laburnumford_node import errors, exchange, header_names, reason
+from laburnumford_node import errors, exchange, header_names, nested_wait, reason
 from laburnumford_node import payload as payloads
 from laburnumford_node.http import client_connection, fields, pool, response
 from laburnumford_node.http import errors as http_errors
@@ -51,6 +51,7 @@
         self._entry_ids = itertools.count(1)
         self._waiting_by_id: dict[int, asyncio.Future[None]] = {}
         self._slots = 0
+        self.nested_wait = nested_wait.NestedWait(clock=clock)
         self.leaving = False
         self._server_draining = False
         self._drain_lapses_s = 0.0
@@ -106,13 +107,19 @@
         """
         await self._take_slot(priority, deadline_s)
         started_s = self._clock()
+        mark = self.nested_wait.run_started()
+
+        def end_run(result: choice.Result) -> None:
+            waited_s = self.nested_wait.run_ended(mark)
+            self._release_slot(started_s, result, priority, waited_s)
+
         try:
             connection = await self._connections.acquire(self._address)
         except http_errors.ConnectError as error:
-            self._release_slot(started_s, choice.Result.FAILED, priority)
+            end_run(choice.Result.FAILED)
             raise errors.RefusedError(reason.Reason.SERVER_FAILED, str(error)) from error
         except BaseException:
-            self._release_slot(started_s, choice.Result.CANCELLED, priority)
+            end_run(choice.Result.CANCELLED)
             raise
 
         def release(whole: bool) -> None:
@@ -122,7 +129,7 @@
                 # The time of a refusal says nothing about the service time.
                 refused = _refused(ongoing.answer)
                 result = choice.Result.REFUSED if refused else choice.Result.ANSWERED
-            self._release_slot(started_s, result, priority)
+            end_run(result)
 
         self.calls_count += 1
         ongoing = exchange.Exchange(connection=connection, release=release)
@@ -232,7 +239,13 @@
         else:
             self._admission.cancel(entry_id, self._clock())
 
-    def _release_slot(self, started_s: float, result: choice.Result, priority: str = "") -> None:
+    def _release_slot(
+        self,
+        started_s: float,
+        result: choice.Result,
+        priority: str = "",
+        waited_s: float = 0.0,
+    ) -> None:
         now = self._clock()
         self._settle(
             self._admission.release(
@@ -240,6 +253,7 @@
                 service_time_s=now - started_s,
                 result=result,
                 priority=priority,
+                waited_s=waited_s,
             )
         )
 
--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -81,6 +81,21 @@
             UnknownOutcomeError: an attempt may have run the request.
             CallerError: the caller's body broke off.
         """
+        if ongoing_call.depth == 0:
+            return await self._dispatch(ongoing_call, on_informational)
+        # Backend servers make their calls through the node beside them.
+        nested = self._server.nested_wait
+        nested.call_started()
+        try:
+            return await self._dispatch(ongoing_call, on_informational)
+        finally:
+            nested.call_ended()
+
+    async def _dispatch(
+        self,
+        ongoing_call: call.Call,
+        on_informational: client_connection.InformationalCallback | None,
+    ) -> exchange.Exchange:
         state = self._states.state(ongoing_call.service)
         state.retry_budget.observe_call(self._clock())
         excluded: frozenset[str] = frozenset()
--- a/packages/policy/src/laburnumford_policy/admission/admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/admission.py
@@ -18,6 +18,10 @@
 # refuse calls with short deadlines that could be answered.
 _SERVICE_TIME_MARGIN = 1.5
 
+# A request that waited longer says little about its own server. The rest of its time, the
+# difference of two times of a few ms, is too noisy to be used instead.
+_WAITED_SHARE = 0.2
+
 
 class Admission:
     """Decides which requests run, wait or are refused at one backend server.
@@ -105,7 +109,13 @@
         return verdict.Verdict(outcome=outcome.Outcome.QUEUED, shed=shed)
 
     def release(
-        self, now: float, service_time_s: float, result: results.Result, *, priority: str = ""
+        self,
+        now: float,
+        service_time_s: float,
+        result: results.Result,
+        *,
+        priority: str = "",
+        waited_s: float = 0.0,
     ) -> changes.Changes:
         """Frees the slot of a request that has ended and starts waiting entries.
 
@@ -117,12 +127,16 @@
                 not look fast, and one whose requests all end at their deadline looks slow.
             priority: priority of the request, if known. Service times are kept by
                 priority, as an upload takes longer than a lookup.
+            waited_s: part of the service time in which the server waited for calls that it
+                made. If it is a large part, the limiter does not see the request: fewer slots
+                do not shorten this wait, and lengthen it if the calls come back to this server.
         """
         self._running = max(0, self._running - 1)
         answered = result is results.Result.ANSWERED
         if answered or service_time_s > self._service_times.expected(priority):
             self._service_times.observe(service_time_s, priority)
-            self._limiter.observe(now, service_time_s, False, priority)
+            if waited_s <= _WAITED_SHARE * service_time_s:
+                self._limiter.observe(now, service_time_s, False, priority)
         if result is results.Result.FAILED:
             self._limiter.observe(now, service_time_s, True, priority)
         return self._dispatch(now)
--- a/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
@@ -188,3 +188,18 @@
     """Fails if a server without slots gets requests that never start."""
     with pytest.raises(errors.ParameterError):
         two_slots.apply(0, 0.0)
+
+
+def test_limit_does_not_follow_the_wait_for_other_servers():
+    """Fails if a server whose nested calls are slow loses slots, which slows them further."""
+    limits = []
+    for share in (0.0, 1.0):
+        subject = admission.Admission(slots=12, queue_limit=9)
+        for number in range(400):
+            admit(subject, number, now=number * 0.1, deadline=1e6)
+            slow_s = 0.4 if number > 200 else 0.0
+            subject.release(number * 0.1, 0.02 + slow_s, ANSWERED, waited_s=share * slow_s)
+        limits.append(subject.report().limit)
+    without, with_wait = limits
+    assert without < 4
+    assert with_wait == 12
