Test the figures of the bench of choosers

Cause: the figures decide about choosers, and a wrong one would not be seen.

Change: tests of percentiles with failed calls, useful answers, shed calls and deployment sizes.

--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_bench_policy.py
@@ -0,0 +1,68 @@
+"""Tests of the figures of the bench of choosers."""
+
+import pytest
+
+from laburnumford_objects import check
+from laburnumford_testkit.bench import policy
+from laburnumford_testkit.caller import record
+
+
+def made(number, latency_s, *, kind="lookup", status=200, outcome=""):
+    """Returns the record of a call that was due at `number` tenths of a second."""
+    due = number / 10
+    return record.Record(
+        call=str(number),
+        call_id=f"{number}.0",
+        kind=kind,
+        due=due,
+        sent=due,
+        answered=None if latency_s is None else due + latency_s,
+        status=status,
+        outcome=outcome,
+        own=True if status == 200 else None,
+    )
+
+
+def outcome_of(records, resends=0):
+    """Returns the outcome of a load of 2.5 s that began at 0."""
+    return policy._Outcome(
+        chooser="random",
+        fault="none",
+        records=records,
+        began=0.0,
+        seconds=2.5,
+        skipped=0,
+        resends=resends,
+        probes_per_s=0.0,
+        probe_bytes_per_s=0.0,
+        share_of_budget=0.0,
+    )
+
+
+def test_failed_lookups_count_with_their_timeout():
+    """Fails if a chooser gets a better tail by not answering."""
+    records = [made(number, 0.01) for number in range(9)]
+    records.append(made(9, 0.001, status=503, outcome="refused"))
+    assert outcome_of(records).lookup_ms(50) == pytest.approx(10, rel=0.01)
+    assert outcome_of(records).lookup_ms(99) == pytest.approx(1000, rel=0.01)
+
+
+def test_late_answers_are_not_useful():
+    """Fails if answers after the timeout count as useful work."""
+    in_time = [made(number, 0.01) for number in range(10, 20)]
+    late = [made(number, 1.05) for number in range(10, 14)]
+    refused = [made(11, 0.001, status=503, outcome="refused", kind="statement")]
+    found = outcome_of(in_time + late + refused, resends=3)
+    assert found.useful_per_s == pytest.approx(5.0)
+    assert found.shed("statement") == 1
+    assert found.shed("lookup") == 0
+    assert found.amplification == pytest.approx(1.2)
+
+
+@pytest.mark.parametrize("made_set", [policy._deployment(), policy._chain_deployment()])
+def test_deployments_have_the_sizes_of_the_design(made_set):
+    """Fails if the bench measures a smaller fleet than it states."""
+    sizes = sorted(len(one.backend_servers) for one in made_set.groups_by_name.values())
+    assert sizes in ([3, 3, 3, 5], [3, 3])
+    # The cluster replaces the placeholder addresses.
+    assert not [one for one in check.check(made_set) if "address" not in str(one)]
