--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -5,9 +5,9 @@
 import logging
 from collections.abc import Callable, Sequence
 
-from laburnumford_node import errors, exchange, header_names, reason
+from laburnumford_node import errors, exchange, header_names, nested_wait, reason
 from laburnumford_node import payload as payloads
-from laburnumford_node.http import client_connection, fields, pool
+from laburnumford_node.http import client_connection, fields, pool, response
 from laburnumford_node.http import errors as http_errors
 from laburnumford_policy import choice
 from laburnumford_policy.admission import admission as admissions
@@ -51,6 +51,7 @@
         self._entry_ids = itertools.count(1)
         self._waiting_by_id: dict[int, asyncio.Future[None]] = {}
         self._slots = 0
+        self.nested_wait = nested_wait.NestedWait(clock=clock)
         self.leaving = False
         self._server_draining = False
         self._drain_lapses_s = 0.0
@@ -106,13 +107,19 @@
         """
         await self._take_slot(priority, deadline_s)
         started_s = self._clock()
+        mark = self.nested_wait.run_started()
+
+        def end_run(result: choice.Result) -> None:
+            waited_s = self.nested_wait.run_ended(mark)
+            self._release_slot(started_s, result, priority, waited_s)
+
         try:
             connection = await self._connections.acquire(self._address)
         except http_errors.ConnectError as error:
-            self._release_slot(started_s, choice.Result.FAILED)
+            end_run(choice.Result.FAILED)
             raise errors.RefusedError(reason.Reason.SERVER_FAILED, str(error)) from error
         except BaseException:
-            self._release_slot(started_s, choice.Result.CANCELLED)
+            end_run(choice.Result.CANCELLED)
             raise
 
         if self._clock() >= deadline_s:
@@ -125,9 +132,12 @@
 
         def release(whole: bool) -> None:
             self._connections.release(self._address, connection)
-            self._release_slot(
-                started_s, choice.Result.ANSWERED if whole else choice.Result.CANCELLED
-            )
+            result = choice.Result.CANCELLED
+            if whole:
+                # The time of a refusal says nothing about the service time.
+                refused = _refused(ongoing.answer)
+                result = choice.Result.REFUSED if refused else choice.Result.ANSWERED
+            end_run(result)
 
         self.calls_count += 1
         ongoing = exchange.Exchange(connection=connection, release=release)
@@ -135,15 +145,12 @@
             ongoing, connection, method, target, head, payload, on_informational, deadline_s
         )
 
-    def apply_limits(self, *, slots: int, limiter_name: str) -> None:
-        """Takes over the published slots of the server, if they changed.
-
-        Requests that run or wait keep their place in the former admission and end there.
-        """
+    def apply_limits(self, *, slots: int) -> None:
+        """Takes over the published slots of the server, if they changed."""
         if slots == self._slots:
             return
         self._slots = slots
-        self._admission = admissions.Admission(slots=slots, limiter_name=limiter_name)
+        self._settle(self._admission.apply(slots, self._clock()))
 
     def observe_draining(self, draining: bool) -> None:
         """Takes over what the backend server says about itself."""
@@ -193,7 +200,7 @@
             raise
         self.last_answer_s = self._clock()
         self.observe_draining(fields.get(answer.fields, header_names.DRAINING) == b"1")
-        if fields.get(answer.fields, header_names.OUTCOME) == b"refused":
+        if _refused(answer):
             await ongoing.end(whole=True)
             raise errors.RefusedError(
                 reason.Reason.OVERLOADED, "the backend server refused the request"
@@ -240,13 +247,21 @@
         else:
             self._admission.cancel(entry_id, self._clock())
 
-    def _release_slot(self, started_s: float, result: choice.Result) -> None:
+    def _release_slot(
+        self,
+        started_s: float,
+        result: choice.Result,
+        priority: str = "",
+        waited_s: float = 0.0,
+    ) -> None:
         now = self._clock()
         self._settle(
             self._admission.release(
                 now=now,
                 service_time_s=now - started_s,
                 result=result,
+                priority=priority,
+                waited_s=waited_s,
             )
         )
 
@@ -267,6 +282,10 @@
                 self._release_slot(self._clock(), choice.Result.CANCELLED)
 
 
+def _refused(answer: response.Response) -> bool:
+    return fields.get(answer.fields, header_names.OUTCOME) == b"refused"
+
+
 def _refusal(why: str) -> errors.RefusedError:
     return errors.RefusedError(
         _REASON_BY_REFUSAL.get(why, reason.Reason.OVERLOADED), "not admitted beside the server"
--- a/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
@@ -166,3 +166,40 @@
         admit(two_slots, number)
         two_slots.release(0.0, 2.0, result.Result.CANCELLED)
     assert two_slots.report().service_time_us > 1_900_000
+
+
+@pytest.mark.parametrize("name", limiter.limiters.names())
+def test_changed_slots_keep_the_count_of_running_requests(name):
+    """Fails if a published change lets a server run more requests than it has slots."""
+    subject = admission.Admission(slots=4, limiter_name=name, queue_limit=9)
+    outcomes = [admit(subject, number).outcome for number in range(6)]
+    assert outcomes == [RUN] * 4 + [QUEUED] * 2
+    assert subject.apply(2, 0.1).started == ()
+    assert (subject.report().running, subject.report().limit) == (4, 2)
+    for _ in range(2):
+        assert subject.release(0.2, 0.1, ANSWERED).started == ()
+    assert subject.release(0.2, 0.1, ANSWERED).started == (4,)
+    assert subject.apply(6, 0.3).started == (5,)
+    assert subject.report().running == 3
+    assert subject.report().limit == 6
+
+
+def test_changed_slots_are_checked(two_slots):
+    """Fails if a server without slots gets requests that never start."""
+    with pytest.raises(errors.ParameterError):
+        two_slots.apply(0, 0.0)
+
+
+def test_limit_does_not_follow_the_wait_for_other_servers():
+    """Fails if a server whose nested calls are slow loses slots, which slows them further."""
+    limits = []
+    for share in (0.0, 1.0):
+        subject = admission.Admission(slots=12, queue_limit=9)
+        for number in range(400):
+            admit(subject, number, now=number * 0.1, deadline=1e6)
+            slow_s = 0.4 if number > 200 else 0.0
+            subject.release(number * 0.1, 0.02 + slow_s, ANSWERED, waited_s=share * slow_s)
+        limits.append(subject.report().limit)
+    without, with_wait = limits
+    assert without < 4
+    assert with_wait == 12
--- a/packages/testkit/src/laburnumford_testkit/bench/__main__.py
+++ b/packages/testkit/src/laburnumford_testkit/bench/__main__.py
@@ -7,13 +7,13 @@
 
 import click
 
-from laburnumford_testkit.bench import bench, path, scale
+from laburnumford_testkit.bench import bench, path, policy, scale
 
-_LOADED = (path, scale)  # importing a module registers its bench
+_LOADED = (path, policy, scale)  # importing a module registers its bench
 
 
-async def _run(name: str, folder: pathlib.Path, options: dict[str, Any]) -> None:
-    created = bench.benches.create(name, folder=folder, **options)
+async def _run(name: str, **options: Any) -> None:
+    created = bench.benches.create(name, **options)
     async for figure in created.run():
         click.echo(figure.encode())
 
@@ -23,20 +23,20 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--samples", default=3000, show_default=True, help="Samples per figure.")
 @click.option("--repetitions", default=5, show_default=True)
-@click.option("--quick", is_flag=True, help="Measure less, within a minute.")
+@click.option("--quick", is_flag=True, help="Shorter and fewer loads, under a minute.")
 @click.option(
     "--folder",
     type=click.Path(path_type=pathlib.Path, exists=True, file_okay=False),
     default=None,
     help="Folder for logs; default a temporary one.",
 )
-def main(name: str, folder: pathlib.Path | None, **options: Any) -> None:
+def main(*, name: str, folder: pathlib.Path | None, **options: Any) -> None:
     """Measures NAME against real processes on loopback."""
     if folder is not None:
-        asyncio.run(_run(name, folder, options))
+        asyncio.run(_run(name, folder=folder, **options))
         return
     with tempfile.TemporaryDirectory(prefix="laburnumford-bench-") as temporary:
-        asyncio.run(_run(name, pathlib.Path(temporary), options))
+        asyncio.run(_run(name, folder=pathlib.Path(temporary), **options))
 
 
 if __name__ == "__main__":
--- a/packages/testkit/src/laburnumford_testkit/bench/bench.py
+++ b/packages/testkit/src/laburnumford_testkit/bench/bench.py
@@ -23,7 +23,7 @@
         folder: existing folder for logs.
         samples: wanted number of samples per figure.
         repetitions: number of repetitions over which the samples are spread.
-        quick: whether to take fewer and smaller measurements, within a minute.
+        quick: whether to measure less, to check that the bench works.
     """
 
     def __init__(
