--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -125,7 +125,7 @@
         if self._clock() >= deadline_s:
             # The process may have been paused between the admission and here.
             self._connections.release(self._address, connection)
-            self._release_slot(started_s, choice.Result.CANCELLED)
+            end_run(choice.Result.CANCELLED)
             raise errors.RefusedError(
                 reason.Reason.DEADLINE, "the deadline passed before the request was handed on"
             )
--- a/packages/node/src/laburnumford_node/edge.py
+++ b/packages/node/src/laburnumford_node/edge.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 
 from laburnumford_node import (
+    answering,
     call,
     dispatch,
     errors,
     header_names,
     metrics,
-    outcome,
     problem,
     reason,
     relay,
@@ -102,7 +102,8 @@
             refused = isinstance(error, errors.RefusedError)
             result = "refused" if refused else "unknown"
             span.set("laburnumford.reason", error.why.label)
-            self._write_problem(received, connection, error)
+            extra = [error.ticket] if isinstance(error, errors.TicketRequiredError) else []
+            answering.write_problem(received, connection, error, close=self.draining, extra=extra)
         except errors.CallerError:
             connection.abort()
         except http_errors.BadMessageError as error:
@@ -174,7 +175,9 @@
         if key is not None and has_ticket:
             await self._tickets.answer(ongoing_call, key.decode("latin-1"), connection)
             return
-        ongoing = await self._dispatcher.dispatch(ongoing_call, _forwarder(received, connection))
+        ongoing = await self._dispatcher.dispatch(
+            ongoing_call, answering.informational_forwarder(received, connection)
+        )
         await relay.relay(
             ongoing,
             received,
@@ -183,32 +186,6 @@
             ongoing_call.deadline_s,
         )
 
-    def _write_problem(
-        self,
-        received: request.Request,
-        connection: server_connection.ServerConnection,
-        error: errors.AttemptError,
-    ) -> None:
-        if connection.answer_started:
-            # A part of the answer is out already; relay has reset the connection.
-            connection.abort()
-            return
-        refused = isinstance(error, errors.RefusedError)
-        extra = [error.ticket] if isinstance(error, errors.TicketRequiredError) else []
-        close = not received.keep_alive or not received.body.received or self.draining
-        if close:
-            connection.close_after_answer()
-        connection.write(
-            problem.encode(
-                error.why,
-                outcome.Outcome.REFUSED if refused else outcome.Outcome.UNKNOWN,
-                error.detail,
-                close=close,
-                head_only=received.method == b"HEAD",
-                extra=extra,
-            )
-        )
-
     def _write_bad_body(
         self,
         connection: server_connection.ServerConnection,
@@ -251,18 +228,3 @@
     if resolved.idempotent is not None:
         return resolved.idempotent
     return received.method in _IDEMPOTENT_METHODS
-
-
-def _forwarder(
-    received: request.Request, connection: server_connection.ServerConnection
-) -> Callable[[int, object], None] | None:
-    if received.version != "1.1":
-        return None
-
-    def forward(status: int, head: object) -> None:
-        if isinstance(head, list):
-            connection.write_informational(
-                fields.encode(problem.start_line(status), fields.forwarded(head))
-            )
-
-    return forward
--- /dev/null
+++ b/packages/node/src/laburnumford_node/http/_connection.py
@@ -0,0 +1,64 @@
+"""What incoming and outgoing connections have in common."""
+
+import asyncio
+from typing import cast
+
+from laburnumford_node.http import _read_buffer
+
+_WRITE_HIGH_WATER_BYTES = 32 * 1024
+
+
+class Connection(asyncio.BufferedProtocol):
+    """Transport and flow control of one connection."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._drain_waiter: asyncio.Future[None] | None = None
+        self._write_paused = False
+        self._lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
+
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Returns the shared read buffer."""
+        return _read_buffer.READ_BUFFER
+
+    def eof_received(self) -> bool:
+        """Closes: a peer that has closed its half is taken to have gone away."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Makes `drain` wait."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Lets `drain` go on."""
+        self._write_paused = False
+        self._end_drain()
+
+    def pause_reading(self) -> None:
+        """Stops reading from the socket."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Goes on reading from the socket."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    async def drain(self) -> None:
+        """Waits until the send buffer is below its high-water mark, or the connection is lost."""
+        if not self._write_paused or self._lost:
+            return
+        self._drain_waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._drain_waiter
+        finally:
+            self._drain_waiter = None
+
+    def _end_drain(self) -> None:
+        if self._drain_waiter is not None and not self._drain_waiter.done():
+            self._drain_waiter.set_result(None)
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -2,20 +2,18 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import cast
 
 import httptools
 
-from laburnumford_node.http import _read_buffer, body, errors, fields, response
+from laburnumford_node.http import _connection, _read_buffer, body, errors, fields, response
 
-_WRITE_HIGH_WATER_BYTES = 32 * 1024
 _MAX_FIELDS = 256
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 InformationalCallback = Callable[[int, Sequence[fields.Field]], None]
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+class ClientConnection(_connection.Connection):
     """Sends requests one after the other and parses their answers.
 
     The connection never resends a request. It is reusable only after an answer
@@ -24,19 +22,16 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self._parser = httptools.HttpResponseParser(self)
-        self._transport: asyncio.Transport | None = None
         self._head_waiter: asyncio.Future[response.Response] | None = None
         self._continue_waiter: asyncio.Future[bool] | None = None
-        self._drain_waiter: asyncio.Future[None] | None = None
-        self._write_paused = False
         self._method = b""
         self._body: body.Body | None = None
         self._active = False
         self._answer_ended = True
         self._request_ended = True
         self._poisoned = False
-        self._lost = False
         self._informational = False
         self._status = 0
         self._reason = b""
@@ -50,15 +45,6 @@
 
     # asyncio callbacks
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Takes the transport."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
-
-    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
-        """Returns the shared read buffer."""
-        return _read_buffer.READ_BUFFER
-
     def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes."""
         if not self._active or self._answer_ended:
@@ -78,26 +64,11 @@
         except httptools.HttpParserError as error:
             self._fail(errors.BadMessageError(502, f"invalid HTTP answer: {error}"))
 
-    def eof_received(self) -> bool:
-        """Closes: a peer that sends no more cannot answer any more."""
-        return False
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange in progress."""
         self._lost = True
         self._fail(errors.TruncatedError(f"connection closed before the answer ended: {exc}"))
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
-
-    def pause_writing(self) -> None:
-        """Makes `drain` wait."""
-        self._write_paused = True
-
-    def resume_writing(self) -> None:
-        """Lets `drain` go on."""
-        self._write_paused = False
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        self._end_drain()
 
     # httptools callbacks
 
@@ -152,18 +123,6 @@
         if not self._informational and not self._answer_ended:
             self._end_answer()
 
-    # flow control
-
-    def pause_reading(self) -> None:
-        """Stops reading from the socket."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Goes on reading from the socket."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
     # for the relay
 
     @property
@@ -214,12 +173,7 @@
         Raises:
             ConnectionLostError: the connection has ended.
         """
-        if self._write_paused and not self._lost:
-            self._drain_waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._drain_waiter
-            finally:
-                self._drain_waiter = None
+        await super().drain()
         if self._lost:
             raise errors.ConnectionLostError("connection closed while the request was written")
 
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -7,11 +7,11 @@
 import sys
 import termios
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Any, cast
+from typing import Any
 
 import httptools
 
-from laburnumford_node.http import _read_buffer, body, errors, fields, request
+from laburnumford_node.http import _connection, _read_buffer, body, errors, fields, request
 
 Handler = Callable[[request.Request, "ServerConnection"], Awaitable[None]]
 """Answers one request through the connection that received it."""
@@ -19,7 +19,6 @@
 FailureResponder = Callable[["ServerConnection", errors.BadMessageError], None]
 """Answers a request that could not be parsed."""
 
-_WRITE_HIGH_WATER_BYTES = 32 * 1024
 _MAX_PIPELINED_REQUESTS = 1
 _MAX_FIELDS = 256
 _LINGER_S = 2.0
@@ -27,7 +26,7 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(_connection.Connection):
     """Parses requests of one connection and runs the handler, one request at a time.
 
     The connection's single task waits for a request, awaits the handler, and goes
@@ -52,21 +51,18 @@
         clock: Callable[[], float],
         on_closed: Callable[["ServerConnection"], None],
     ) -> None:
+        super().__init__()
         self._handler = handler
         self._on_failure = on_failure
         self._header_bytes = header_bytes
         self._clock = clock
         self._on_closed = on_closed
         self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._requests: collections.deque[request.Request | errors.BadMessageError] = (
             collections.deque()
         )
         self._request_waiter: asyncio.Future[None] | None = None
-        self._drain_waiter: asyncio.Future[None] | None = None
-        self._write_paused = False
-        self._lost = False
         self._draining = False
         self._detached = False
         self._close_after_answer = False
@@ -87,14 +83,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task of the connection."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
+        super().connection_made(transport)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
-    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
-        """Returns the shared read buffer."""
-        return _read_buffer.READ_BUFFER
-
     def buffer_updated(self, nbytes: int) -> None:
         """Parses received bytes."""
         if self._discarding:
@@ -117,32 +108,17 @@
             if self._in_header_section and self._section_bytes > self._header_bytes:
                 self._fail(self._too_large())
 
-    def eof_received(self) -> bool:
-        """Treats a half-closed connection as closed: the caller has gone away."""
-        return False
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the body being read and the handler."""
         self._lost = True
         if self._reading_body is not None:
             self._reading_body.fail(errors.ConnectionLostError(f"caller closed: {exc}"))
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        self._end_drain()
         self._wake()
         if self._task is not None and not self._detached:
             self._task.cancel()
         self._on_closed(self)
 
-    def pause_writing(self) -> None:
-        """Makes `drain` wait."""
-        self._write_paused = True
-
-    def resume_writing(self) -> None:
-        """Lets `drain` go on."""
-        self._write_paused = False
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
-
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -192,18 +168,6 @@
             self._reading_body.finish(self._trailers)
             self._reading_body = None
 
-    # flow control
-
-    def pause_reading(self) -> None:
-        """Stops reading from the socket."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Goes on reading from the socket."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
     # for handlers
 
     @property
@@ -235,16 +199,6 @@
         if self._transport is not None and not self._lost and not self.answer_started:
             self._transport.write(data)
 
-    async def drain(self) -> None:
-        """Waits until the send buffer is below its high-water mark."""
-        if not self._write_paused or self._lost:
-            return
-        self._drain_waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self._drain_waiter
-        finally:
-            self._drain_waiter = None
-
     def abort(self) -> None:
         """Resets the connection, so that a partial answer cannot look complete."""
         if self._transport is not None:
--- a/packages/node/src/laburnumford_node/peer.py
+++ b/packages/node/src/laburnumford_node/peer.py
@@ -5,9 +5,9 @@
 
 from laburnumford_node import (
     adjacent,
+    answering,
     errors,
     header_names,
-    outcome,
     peer_client,
     problem,
     reason,
@@ -151,7 +151,7 @@
                 payload=payload,
                 priority=_priority(received),
                 deadline_s=deadline_s,
-                on_informational=_forwarder(connection),
+                on_informational=answering.informational_forwarder(received, connection),
             )
             await relay.relay(
                 ongoing,
@@ -162,8 +162,6 @@
             )
         except errors.AttemptError as error:
             span.set("laburnumford.reason", error.why.label)
-            if connection.answer_started:
-                return
             self._refuse(connection, received, error)
         except (errors.CallerError, http_errors.HttpError):
             connection.abort()
@@ -189,20 +187,8 @@
         received: request.Request,
         error: errors.AttemptError,
     ) -> None:
-        refused = isinstance(error, errors.RefusedError)
-        close = not received.body.received or not received.keep_alive
-        if close:
-            connection.close_after_answer()
-        connection.write(
-            problem.encode(
-                error.why,
-                outcome.Outcome.REFUSED if refused else outcome.Outcome.UNKNOWN,
-                error.detail,
-                close=close,
-                head_only=received.method == b"HEAD",
-                extra=[(header_names.LOAD, self._server.report().encode().encode())],
-            )
-        )
+        load = (header_names.LOAD, self._server.report().encode().encode())
+        answering.write_problem(received, connection, error, extra=[load])
 
 
 _KEPT_TOWARDS_SERVER = frozenset({header_names.ATTEMPTS, header_names.DEPTH})
@@ -229,15 +215,3 @@
             f"field {name.decode()}: found {value!r}; allowed: 0 to {_MAX_TIMEOUT_MS}",
         )
     return int(value)
-
-
-def _forwarder(
-    connection: server_connection.ServerConnection,
-) -> Callable[[int, object], None]:
-    def forward(status: int, head: object) -> None:
-        if isinstance(head, list):
-            connection.write_informational(
-                fields.encode(problem.start_line(status), fields.forwarded(head))
-            )
-
-    return forward
