Start a second attempt beside a slow lookup

Cause: policy.hedge had no effect.

Change: dispatch starts a second attempt at the 95th percentile of the latency of the service, if HedgePolicy allows it, the latest report of the other server shows a free slot, and the call is idempotent without a key and has its whole body. The losing attempt is cancelled. Hedges are counted as resends with cause hedge.

Measured: test_hedges, one of five servers stalled: all lookups answered within 500 ms, losing runs cancelled, no slot kept.

--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -12,6 +12,7 @@
     header_names,
     metrics,
     peer_client,
+    race,
     reason,
     service_state,
     view,
@@ -107,10 +108,15 @@
                 raise errors.RefusedError(
                     reason.Reason.NO_SERVER, f"no backend server for {ongoing_call.service}"
                 )
+            hedges: list[str] = []
             try:
-                return await self._attempt(ongoing_call, state, name, resends, on_informational)
+                return await self._attempt_hedged(
+                    ongoing_call, state, name, resends, on_informational, hedges
+                )
             except errors.AttemptError as error:
                 maybe_ran = maybe_ran or isinstance(error, errors.UnknownOutcomeError)
+                resends += len(hedges)
+                excluded |= set(hedges)
                 decided = self._decide(ongoing_call, state, error, resends)
                 if not decided.resend:
                     raise _final(error, maybe_ran) from error
@@ -150,16 +156,48 @@
             found = proof.Proof.UNKNOWN
         return state.retry_policy.check(
             failure.Failure(proof=found, reason=error.why.label),
-            call_facts.CallFacts(
-                idempotent=ongoing_call.idempotent,
-                deadline=ongoing_call.deadline_s,
-                resends=resends,
-                depth=ongoing_call.depth,
-            ),
+            _facts(ongoing_call, resends),
             self._clock(),
             cause=cause.Cause.RETRY if found is proof.Proof.UNKNOWN else cause.Cause.REDIRECT,
         )
 
+    async def _attempt_hedged(
+        self,
+        ongoing_call: call.Call,
+        state: service_state.ServiceState,
+        name: str,
+        resends: int,
+        on_informational: client_connection.InformationalCallback | None,
+        hedges: list[str],
+    ) -> exchange.Exchange:
+        """Makes an attempt, and a second one if the first is slow and the policy allows it.
+
+        Adds the server of the second attempt to `hedges`.
+        """
+        delay_s = state.latencies.p95_s
+        attempt = functools.partial(self._attempt, ongoing_call, state)
+        if not _hedgeable(ongoing_call) or delay_s <= 0.0:
+            return await attempt(name, resends, on_informational)
+        loop = asyncio.get_running_loop()
+
+        def start_second() -> race.Attempt | None:
+            now = self._clock()
+            other = state.chooser.choose(now, frozenset({name}))
+            if other is None:
+                return None
+            decided = state.hedge_policy.check(
+                _facts(ongoing_call, resends), delay_s, delay_s, state.has_spare(other), now
+            )
+            if not decided.resend:
+                return None
+            hedges.append(other)
+            self._metrics.observe_resend(ongoing_call.service, cause.Cause.HEDGE.value)
+            # Informational answers of two servers would mix.
+            return loop.create_task(attempt(other, resends + 1, None))
+
+        first = loop.create_task(attempt(name, resends, on_informational))
+        return await race.race(first, delay_s, start_second)
+
     async def _attempt(
         self,
         ongoing_call: call.Call,
@@ -179,6 +217,8 @@
                 ongoing = await self._call_peer(ongoing_call, name, resends, on_informational)
         except errors.RefusedError as error:
             ended(error.report, choice.Result.REFUSED)
+            if error.report is not None:
+                state.observe_load(name, error.report)
             self._tell_fleet(name, True, error.why is reason.Reason.DRAINING, started_s)
             raise
         except errors.AttemptError as error:
@@ -197,6 +237,9 @@
             else peer_client.load_report(ongoing.answer.fields)
         )
         ended(report, choice.Result.ANSWERED)
+        state.latencies.observe(self._clock() - started_s)
+        if report is not None:
+            state.observe_load(name, report)
         self._tell_fleet(name, True, False, started_s)
         return ongoing
 
@@ -285,6 +328,25 @@
         return max(int((ongoing_call.deadline_s - self._clock()) * 1000), 1)
 
 
+def _facts(ongoing_call: call.Call, resends: int) -> call_facts.CallFacts:
+    return call_facts.CallFacts(
+        idempotent=ongoing_call.idempotent,
+        deadline=ongoing_call.deadline_s,
+        resends=resends,
+        depth=ongoing_call.depth,
+    )
+
+
+def _hedgeable(ongoing_call: call.Call) -> bool:
+    """Returns whether a second attempt is safe and the body can be sent twice at once."""
+    return (
+        ongoing_call.policy.hedge
+        and ongoing_call.idempotent
+        and ongoing_call.payload.stream is None
+        and fields.get(ongoing_call.received.fields, header_names.IDEMPOTENCY_KEY) is None
+    )
+
+
 def _ignore(whole: bool) -> None:
     """Ends an exchange that nothing waits for."""
 
--- a/packages/node/src/laburnumford_node/service_state.py
+++ b/packages/node/src/laburnumford_node/service_state.py
@@ -3,9 +3,10 @@
 import random
 from collections.abc import Callable
 
-from laburnumford_node import view
+from laburnumford_node import latency_window, view
 from laburnumford_objects import backend_server, policy, resolution, zone
 from laburnumford_policy import choice
+from laburnumford_policy.retry import hedge_policy as hedges
 from laburnumford_policy.retry import retry_budget as budgets
 from laburnumford_policy.retry import retry_policy as policies
 
@@ -17,6 +18,7 @@
         chooser: chooser of the service.
         retry_budget: budget for all resends of the service.
         retry_policy: rule that decides about each resend.
+        hedge_policy: rule that decides about each second attempt beside the first.
     """
 
     def __init__(
@@ -25,16 +27,28 @@
         chooser: choice.Chooser,
         retry_budget: budgets.RetryBudget,
         retry_policy: policies.RetryPolicy,
+        hedge_policy: hedges.HedgePolicy,
     ) -> None:
         self.chooser = chooser
         self.retry_budget = retry_budget
         self.retry_policy = retry_policy
+        self.hedge_policy = hedge_policy
+        self.latencies = latency_window.LatencyWindow()
+        self._spare_by_name: dict[str, bool] = {}
         self.server_names: frozenset[str] = frozenset()
 
     def serves(self, name: str) -> bool:
         """Whether the backend server belongs to the service."""
         return name in self.server_names
 
+    def observe_load(self, name: str, load: choice.LoadReport) -> None:
+        """Takes the load that came with an answer of a backend server."""
+        self._spare_by_name[name] = load.queued == 0 and load.running < load.limit
+
+    def has_spare(self, name: str) -> bool:
+        """Whether the latest report of a backend server showed a free slot."""
+        return name in self.server_names and self._spare_by_name.get(name, False)
+
 
 class ServiceStates:
     """Keeps the state of the services that this node calls.
@@ -102,6 +116,7 @@
             retry_policy=policies.RetryPolicy(
                 budget=budget, generator=self._generator, max_resends=resolved.max_resends
             ),
+            hedge_policy=hedges.HedgePolicy(budget=budget, max_resends=resolved.max_resends),
         )
         self._apply_to(service, state)
         return state
--- a/packages/testkit/src/laburnumford_testkit/bench/policy.py
+++ b/packages/testkit/src/laburnumford_testkit/bench/policy.py
@@ -596,7 +596,9 @@
 def _deployment() -> object_set.ObjectSet:
     """Returns the services of Nordvarde at the sizes of section 1.5 of the design page."""
     policies = {
-        kind: policy.Policy.model_validate({"name": kind, "timeout_ms": ms, "priority": kind})
+        kind: policy.Policy.model_validate(
+            {"name": kind, "timeout_ms": ms, "priority": kind, "hedge": kind == "lookup"}
+        )
         for kind, ms in _TIMEOUT_MS_BY_KIND.items()
     }
     routes = [
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/tests/system/test_hedges.py
@@ -0,0 +1,37 @@
+"""Tests of second attempts beside slow ones."""
+
+import asyncio
+
+from laburnumford_testkit.backend import fault
+from laburnumford_testkit.caller import call, load
+
+_SEED = 6
+
+
+async def test_stalled_server_is_hedged_and_the_loser_cancelled(run_cluster, make_caller):
+    """Guards against lookups that wait for a stalled server, and losers that keep its slots."""
+    caller = make_caller()
+    services = ["assay-results", "accounts"]
+    async with run_cluster("nordvarde", services=services, seed=_SEED) as running:
+        entry = running.edge_address("accounts-1")
+        lookups = load.Load(
+            calls=[call.Call(path="/assay-results/1", timeout_ms=500, work_ms=5)],
+            addresses=[entry],
+            rate_per_s=100.0,
+            duration_s=1.5,
+            seed=_SEED,
+        )
+        await load.run(lookups, caller)
+        stalled = running.backend("assay-results-2")
+        await stalled.set_fault(fault.Fault(kind=fault.FaultKind.STALL))
+        caller.records.clear()
+        await load.run(lookups, caller)
+        await asyncio.sleep(0.2)
+        resends = (await running.node("accounts-1").status())["calls"]["resends"]
+        runs = await stalled.runs()
+        running_now = (await stalled.counters())["running"]
+    answered = [one for one in caller.records if one.status == 200 and one.own]
+    assert resends["assay-results"]["hedge"] > 0
+    assert len(answered) == len(caller.records)
+    assert any(run.cancelled for run in runs)
+    assert running_now == 0
