Add the scenario language, its runner and 20 scenarios

Change: a lark grammar, a reader whose errors name file, line and the words expected, a runner over the real processes, 'make scenarios', the pages docs/notes/scenarios.md and docs/operators/scenarios.md. Cluster.partition holds one direction only if asked, and a cluster looks for the node behind a connection only if it can be partitioned. The measuring log of a server that does not run is left out; asking it failed the scenario zone-loss.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 controls: env
 	$(BIN)/python -m laburnumford_testkit.controls
+
+scenarios: env
+	$(BIN)/python -m laburnumford_testkit.scenario --workers 2 scenarios
--- a/packages/testkit/src/laburnumford_testkit/caller/caller.py
+++ b/packages/testkit/src/laburnumford_testkit/caller/caller.py
@@ -61,7 +61,9 @@
         ids: list[str] = []
         while True:
             ids.append(f"{call_name}.{len(ids)}")
-            record, issued = await self._request(call, call_name, ids, address, key, started)
+            record, issued = await self._request(
+                call, call_name, ids[-1], ids, address, key, started
+            )
             self.records.append(record)
             if record.status == 428 and issued and not key:
                 key = issued
@@ -71,10 +73,46 @@
             repeats += 1
             await asyncio.sleep(self._repeat_delay_s)
 
+    async def call_through_two(
+        self, call: call_module.Call, first: str, second: str, due: float | None = None
+    ) -> tuple[record_module.Record, ...]:
+        """Obtains one ticket and sends the request with it to two nodes at the same time.
+
+        Args:
+            call: what to ask for; its route must require a ticket.
+            first: `ip:port` of the node that issues the ticket.
+            second: `ip:port` of another node.
+            due: time at which the call was due, default now.
+        """
+        self._calls += 1
+        call_name = f"{self._name}{self._calls}"
+        started = time.monotonic() if due is None else due
+        ids = [f"{call_name}.0"]
+        record, key = await self._request(call, call_name, ids[0], ids, first, "", started)
+        self.records.append(record)
+        if record.status != 428 or not key:
+            return (record,)
+
+        async def send(address: str) -> record_module.Record:
+            for _ in range(1 + self._repeats):
+                call_id = f"{call_name}.{len(ids)}"
+                ids.append(call_id)
+                found, _ = await self._request(
+                    call, call_name, call_id, ids, address, key, started
+                )
+                self.records.append(found)
+                if not _is_unknown(found):
+                    break
+                await asyncio.sleep(self._repeat_delay_s)
+            return found
+
+        return tuple(await asyncio.gather(send(first), send(second)))
+
     async def _request(
         self,
         call: call_module.Call,
         call_name: str,
+        call_id: str,
         ids: list[str],
         address: str,
         key: str,
@@ -91,7 +129,7 @@
             async with asyncio.timeout(call.timeout_ms / 1000 + _TIMEOUT_MARGIN_S):
                 connection = self._pool.take_idle(address) or await self._pool.take(address)
                 sent = time.monotonic()
-                connection.begin(exchange, _header_section(call, ids[-1], key, address))
+                connection.begin(exchange, _header_section(call, call_id, key, address))
                 if call.body_bytes:
                     body_digest = await _send_body(connection, call, call_name, exchange)
                 await exchange.ended
@@ -106,7 +144,7 @@
         headers = exchange.headers
         record = record_module.Record(
             call=call_name,
-            call_id=ids[-1],
+            call_id=call_id,
             kind=call.kind,
             key=key,
             target=address,
--- a/packages/testkit/src/laburnumford_testkit/processes/cluster.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import pathlib
 import random
@@ -151,7 +152,7 @@
                 generator=self._generator,
                 host=host,
                 port=int(port),
-                identify=self._node_at if key[0] in ("peer", "control") else None,
+                identify=self._node_at if self._is_identified(key[0]) else None,
             )
             await proxy.start()
             self.proxies_by_name[key] = proxy
@@ -213,7 +214,7 @@
             ]
         )
 
-    def partition(self, *sides: Sequence[str]) -> None:
+    def partition(self, *sides: Sequence[str], one_way: bool = False) -> None:
         """Holds all bytes between nodes of different sides until `heal`.
 
         Needs `proxied` with `peer` and `control`. Connections stay open and
@@ -222,25 +223,34 @@
         Args:
             sides: names of the backend servers on each side; servers that are not named
                 reach all others.
+            one_way: holds only bytes from a side to the sides named after it.
         """
         if not {"peer", "control"} <= self._proxied:
             raise errors.TestkitError("partition needs proxied with peer and control")
-        held = faults_module.Faults(
-            to_target=faults_module.DirectionFaults(pause=True),
-            to_caller=faults_module.DirectionFaults(pause=True),
-        )
-        for side in sides:
-            others = [name for other in sides if other is not side for name in other]
-            for target in side:
+        pause = faults_module.DirectionFaults(pause=True)
+        for before, after in itertools.combinations(sides, 2):
+            from_before = faults_module.Faults(to_target=pause)
+            from_after = faults_module.Faults(to_caller=pause)
+            if not one_way:
+                from_before = from_after = faults_module.Faults(to_target=pause, to_caller=pause)
+            for first, second in itertools.product(before, after):
                 for kind in ("peer", "control"):
-                    for source in others:
-                        self.proxies_by_name[kind, target].set_faults(held, source)
+                    self.proxies_by_name[kind, second].set_faults(from_before, first)
+                    self.proxies_by_name[kind, first].set_faults(from_after, second)
 
     def heal(self) -> None:
         """Ends the partition."""
         for proxy in self.proxies_by_name.values():
             proxy.clear_sources()
 
+    def _is_identified(self, kind: str) -> bool:
+        """Returns whether the proxy of a connection must know which node opened it.
+
+        Only `partition` needs it. The search for the process takes milliseconds for each
+        connection, which slows down a cluster that opens many.
+        """
+        return kind in ("peer", "control") and {"peer", "control"} <= self._proxied
+
     def _node_at(self, remote: tuple[str, int]) -> str | None:
         running = {
             name: process.pid for name, process in self.nodes_by_name.items() if process.running
--- a/packages/testkit/src/laburnumford_testkit/processes/measuring_log.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/measuring_log.py
@@ -9,9 +9,11 @@
 
 
 async def collect(cluster: cluster_module.Cluster) -> tuple[measuring.Measuring, ...]:
-    """Returns the measuring requests of each backend server that can be asked."""
+    """Returns the measuring requests of each backend server that runs."""
     found = []
     for name in cluster.servers_by_name:
+        if not cluster.backends_by_name[name].running:
+            continue
         with contextlib.suppress(errors.TestkitError):
             calls_per_s, bytes_per_s = budget(cluster.objects, cluster.service_by_server[name])
             found.append(
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/scenario/__init__.py
@@ -0,0 +1,29 @@
+"""Scenarios: files that describe a deployment, its load, faults and what must hold."""
+
+from laburnumford_testkit.scenario import (
+    actions,
+    event,
+    expectation,
+    known_red,
+    measures,
+    outcome,
+    play,
+    reader,
+    runner,
+    script,
+    timed_load,
+)
+
+__all__ = [
+    "actions",
+    "event",
+    "expectation",
+    "known_red",
+    "measures",
+    "outcome",
+    "play",
+    "reader",
+    "runner",
+    "script",
+    "timed_load",
+]
--- /dev/null
+++ b/packages/testkit/src/laburnumford_testkit/scenario/runner.py
@@ -0,0 +1,215 @@
+"""Runs a scenario with real processes."""
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+import time
+
+from laburnumford_testkit.caller import caller as caller_module
+from laburnumford_testkit.caller import doubling, load, pool, record, summary
+from laburnumford_testkit.judge import evidence, judge, versions
+from laburnumford_testkit.processes import cluster as cluster_module
+from laburnumford_testkit.processes import measuring_log
+from laburnumford_testkit.scenario import actions, measures, timed_load
+from laburnumford_testkit.scenario import event as event_module
+from laburnumford_testkit.scenario import outcome as outcome_module
+from laburnumford_testkit.scenario import script as script_module
+
+_OBSERVE_S = 0.25
+_WATCH_S = 0.02
+_REASONS_SHOWN = 4
+_MAX_LATE_S = 0.25
+"""Callers and proxies run in this process; a later event loop shows up in all latencies."""
+_PROPAGATION_S = 7.0  # target of P7
+_START_S = 7.0
+"""A node that has started this recently may have no version yet and takes no calls then."""
+
+
+async def run(script: script_module.Script, folder: pathlib.Path) -> outcome_module.Outcome:
+    """Runs a scenario and judges it.
+
+    Args:
+        script: the scenario.
+        folder: existing folder for logs.
+    """
+    return await _Run(script, folder).run()
+
+
+class _Run:
+    """One run of a scenario."""
+
+    def __init__(self, script: script_module.Script, folder: pathlib.Path) -> None:
+        self._script = script
+        needed = [
+            actions.PROXIED_BY_ACTION.get(event.action, frozenset()) for event in script.events
+        ]
+        self._cluster = cluster_module.Cluster(
+            objects=script.objects,
+            folder=folder,
+            seed=script.seed,
+            services=script.services,
+            backend_arguments_by_service={
+                service: ("--service-ms", f"{milliseconds:g}", "--distribution", "lognormal")
+                for service, milliseconds in script.service_ms_by_service.items()
+            },
+            proxied=frozenset().union(*needed),
+        )
+        self._actions = [
+            (event, actions.actions.create(event.action, cluster=self._cluster, event=event))
+            for event in script.events
+        ]
+        self._pool = pool.Pool()
+        self._callers: list[caller_module.Caller] = []
+        self._cut_off: list[tuple[float, float]] = []
+        self._began = 0.0
+        self._skipped = 0
+        self._late_s = 0.0
+
+    async def run(self) -> outcome_module.Outcome:
+        """Starts the processes, applies load and events, and judges what was seen."""
+        started = time.monotonic()
+        async with self._cluster:
+            self._began = time.monotonic()
+            tasks = [asyncio.create_task(self._observe()), asyncio.create_task(self._watch())]
+            try:
+                async with asyncio.TaskGroup() as group:
+                    for index, one in enumerate(self._script.loads):
+                        group.create_task(self._load(index, one))
+                    for event, action in self._actions:
+                        group.create_task(self._act(event, action))
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+                self._pool.close()
+            await self._cluster.observe_versions()
+            seen = await self._evidence()
+        failures = [str(found) for found in dict.fromkeys(judge.judge(seen))]
+        for expectation in self._script.expectations:
+            failure = measures.check(expectation, seen.records, seen.runs, self._began)
+            if failure:
+                failures.append(failure)
+        if self._late_s > _MAX_LATE_S:
+            failures.append(
+                f"the event loop of the runner was up to {self._late_s:.2f} s late; allowed: "
+                f"{_MAX_LATE_S:g} s; bounds on times and shares show nothing about the nodes"
+            )
+        if self._skipped:
+            failures.append(f"{self._skipped} calls were not started: too many were in flight")
+        return outcome_module.Outcome(
+            figures=_figures(seen.records, self._names()),
+            failures=tuple(failures),
+            seconds=time.monotonic() - started,
+        )
+
+    async def _load(self, index: int, one: timed_load.TimedLoad) -> None:
+        await asyncio.sleep(one.begin_s)
+        through = one.through or tuple(self._cluster.nodes_by_name)
+        addresses = tuple(self._cluster.edge_address(name) for name in through)
+        seed = self._script.seed * 100 + index
+        name = f"l{index}-"
+        if one.kind in self._script.doubled:
+            caller: caller_module.Caller = doubling.DoublingCaller(
+                addresses=addresses, generator=random.Random(seed), pool=self._pool, name=name
+            )
+        else:
+            caller = caller_module.Caller(pool=self._pool, name=name)
+        self._callers.append(caller)
+        self._skipped += await load.run(
+            load.Load(
+                calls=[self._script.calls_by_kind[one.kind]],
+                addresses=addresses,
+                rate_per_s=one.rate_per_s,
+                duration_s=one.end_s - one.begin_s,
+                seed=seed,
+            ),
+            caller,
+        )
+
+    async def _act(self, event: event_module.Event, action: actions.Action) -> None:
+        await asyncio.sleep(event.begin_s)
+        began = time.monotonic()
+        await action.begin()
+        if event.end_s is not None:
+            await asyncio.sleep(max(0.0, self._began + event.end_s - time.monotonic()))
+            await action.end()
+        if action.cuts_off:
+            ended = time.monotonic() if event.end_s is not None else float("inf")
+            self._cut_off.append((began, ended))
+
+    async def _observe(self) -> None:
+        while True:
+            await self._cluster.observe_versions()
+            await asyncio.sleep(_OBSERVE_S)
+
+    async def _watch(self) -> None:
+        """Keeps the longest delay of the event loop of this process."""
+        while True:
+            asked = time.monotonic()
+            await asyncio.sleep(_WATCH_S)
+            self._late_s = max(self._late_s, time.monotonic() - asked - _WATCH_S)
+
+    async def _evidence(self) -> evidence.Evidence:
+        return evidence.Evidence(
+            runs=self._cluster.runs(),
+            records=tuple(found for caller in self._callers for found in caller.records),
+            leaves=tuple(found for _, action in self._actions for found in action.leaves),
+            stops=tuple(self._cluster.stops),
+            measuring=await measuring_log.collect(self._cluster),
+            publications=tuple(self._due(one) for one in self._cluster.publisher.publications),
+            observations=self._observations(),
+        )
+
+    def _names(self) -> dict[str, str]:
+        return {self._cluster.edge_address(name): name for name in self._cluster.nodes_by_name}
+
+    def _due(self, publication: versions.Publication) -> versions.Publication:
+        """Returns the publication as of the end of the fault during which it was made."""
+        at = publication.at
+        for began, ended in sorted(self._cut_off):
+            if began - _PROPAGATION_S <= at < ended:
+                at = ended
+        return dataclasses.replace(publication, at=at)
+
+    def _observations(self) -> tuple[versions.Observation, ...]:
+        """Returns the observations without those of nodes that have just started."""
+        found = []
+        first_by_node: dict[str, float] = {}
+        for one in sorted(self._cluster.observations, key=lambda seen: seen.at):
+            if one.version > 0:
+                first_by_node.pop(one.node, None)
+                found.append(one)
+            elif one.at - first_by_node.setdefault(one.node, one.at) > _START_S:
+                found.append(one)
+        return tuple(found)
+
+
+def _figures(
+    records: tuple[record.Record, ...], name_by_address: dict[str, str]
+) -> tuple[str, ...]:
+    lines = []
+    for kind in sorted({one.kind for one in records}):
+        of_kind = [one for one in records if one.kind == kind]
+        seen = summary.summarise(of_kind)
+        lines.append(
+            f"{kind}: {seen.calls} calls, {seen.answered} answered, {seen.refused} refused, "
+            f"{seen.unknown} unknown, p50 {seen.p50_ms:.1f} ms, p99 {seen.p99_ms:.1f} ms"
+        )
+        lines += _reasons(of_kind, name_by_address)
+    return tuple(lines)
+
+
+def _reasons(records: list[record.Record], name_by_address: dict[str, str]) -> list[str]:
+    """Returns the commonest reasons of calls that were not answered, with the node asked."""
+    last_by_call = {one.call: one for one in records}
+    counts = collections.Counter(
+        (one.outcome or "unknown", one.reason or one.error, name_by_address[one.target])
+        for one in last_by_call.values()
+        if one.outcome or one.answered is None
+    )
+    return [
+        f"    {count} {outcome} ({reason}) by the node of {target}"
+        for (outcome, reason, target), count in counts.most_common(_REASONS_SHOWN)
+    ]
