Check the name of the node at a peer address; bound connecting by the deadline

Cause: a VM that takes over the address of another would get its calls, and with them bookings of another service; the wait for a peer was bounded twice, in dispatch and in the peer client. Change: the hello's node name must be the chosen server's, or nothing is written; one bound with a margin for the peer's refusal, in the peer client.

--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -24,9 +24,6 @@
 _RETRY_OWN_REASONS = frozenset({reason.Reason.DEADLINE})
 
 
-_PEER_MARGIN_S = 0.02
-"""Lets the refusal of a node that ends the wait at the deadline arrive: it is a proof."""
-
 PeerResult = Callable[[str, bool, bool, float], None]
 """Takes the server name, whether its node answered, whether it is draining, and the
 monotonic time when the call was sent."""
@@ -298,23 +295,17 @@
             (header_names.PRIORITY, ongoing_call.policy.priority.encode()),
             (header_names.VERSION, b"%d" % current.version),
         ]
-        left_s = max(0.0, ongoing_call.deadline_s - self._clock())
-        try:
-            async with asyncio.timeout(left_s + _PEER_MARGIN_S):
-                return await self._peers.call(
-                    address=server.peer_address,
-                    method=ongoing_call.received.method,
-                    target=ongoing_call.received.target,
-                    head=head,
-                    payload=ongoing_call.payload,
-                    deadline_s=ongoing_call.deadline_s,
-                    on_end=_ignore,
-                    on_informational=on_informational,
-                )
-        except TimeoutError as error:
-            raise errors.UnknownOutcomeError(
-                reason.Reason.TIMEOUT, f"the node of {name} did not answer before the deadline"
-            ) from error
+        return await self._peers.call(
+            address=server.peer_address,
+            node=name,
+            method=ongoing_call.received.method,
+            target=ongoing_call.received.target,
+            head=head,
+            payload=ongoing_call.payload,
+            deadline_s=ongoing_call.deadline_s,
+            on_end=_ignore,
+            on_informational=on_informational,
+        )
 
     def _common_head(self, ongoing_call: call.Call, resends: int) -> list[fields.Field]:
         return [
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -41,6 +41,7 @@
         self.wrote = False
         self.idle_since_s = 0.0
         self.nonce = b""
+        self.peer_name = b""
         self.hello_at_s = 0.0
 
     # asyncio callbacks
--- a/packages/node/src/laburnumford_node/peer_client.py
+++ b/packages/node/src/laburnumford_node/peer_client.py
@@ -17,6 +17,9 @@
 
 _MAX_HELLOS = 3
 
+_REFUSAL_MARGIN_S = 0.02
+"""Lets the refusal of a node that ends the wait at the deadline arrive: it is a proof."""
+
 
 async def greet(connection: client_connection.ClientConnection) -> None:
     """Asks the peer for the nonce of a new connection.
@@ -42,6 +45,7 @@
     connection.write(fields.encode(b"GET %b HTTP/1.1" % HELLO_TARGET, [(b"host", b"peer")]))
     connection.end_request()
     answer = await connection.answer()
+    connection.peer_name = fields.get(answer.fields, header_names.NODE) or b""
     nonce = fields.get(answer.fields, header_names.CONNECTION)
     if answer.status != 204 or nonce is None:
         raise http_errors.BadMessageError(502, f"hello was answered with {answer.status}")
@@ -64,6 +68,7 @@
         self,
         *,
         address: str,
+        node: str,
         method: bytes,
         target: bytes,
         head: Sequence[fields.Field],
@@ -76,6 +81,8 @@
 
         Args:
             address: peer address of the node, ``ip:port``.
+            node: name that the node must have. An address can belong to another VM by
+                now, whose server must not get the call.
             method: request method.
             target: request target in origin form.
             head: header fields without framing and connection fields.
@@ -91,10 +98,7 @@
             UnknownOutcomeError: the request may have run.
             CallerError: the caller's body broke off.
         """
-        try:
-            connection = await self._connections.acquire(address)
-        except http_errors.ConnectError as error:
-            raise errors.NotWrittenError(reason.Reason.NO_SERVER, str(error)) from error
+        connection = await self._acquire(address, node, deadline_s)
 
         def release(whole: bool) -> None:
             self._connections.release(address, connection)
@@ -114,7 +118,7 @@
             (header_names.TIMEOUT_MS, b"%d" % max(int((deadline_s - now) * 1000), 0)),
         ]
         try:
-            async with asyncio.timeout(deadline_s - now):
+            async with asyncio.timeout(deadline_s - now + _REFUSAL_MARGIN_S):
                 answer = await ongoing.send(
                     method=method,
                     target=target,
@@ -138,6 +142,26 @@
             await _raise_problem(ongoing)
         return ongoing
 
+    async def _acquire(
+        self, address: str, node: str, deadline_s: float
+    ) -> client_connection.ClientConnection:
+        try:
+            async with asyncio.timeout(deadline_s - self._clock()):
+                connection = await self._connections.acquire(address)
+        except http_errors.ConnectError as error:
+            raise errors.NotWrittenError(reason.Reason.NO_SERVER, str(error)) from error
+        except TimeoutError as error:
+            raise errors.NotWrittenError(
+                reason.Reason.DEADLINE, f"no connection to {address} before the deadline"
+            ) from error
+        if connection.peer_name != node.encode():
+            connection.close()
+            raise errors.NotWrittenError(
+                reason.Reason.NO_SERVER,
+                f"at {address} found node {connection.peer_name!r}; wanted {node!r}",
+            )
+        return connection
+
 
 def load_report(sent: Sequence[fields.Field]) -> choice.LoadReport | None:
     """Returns the load report of an answer, or None if there is no valid one."""
--- a/packages/node/src/laburnumford_node/ticket_desk.py
+++ b/packages/node/src/laburnumford_node/ticket_desk.py
@@ -212,6 +212,7 @@
         try:
             ongoing = await self._peers.call(
                 address=owner.peer_address,
+                node=owner_name,
                 method=ticketed.received.method,
                 target=ticketed.received.target,
                 head=head,
