--- a/packages/testkit/src/laburnumford_testkit/tests/test_bench_policy.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_bench_policy.py
@@ -1,5 +1,7 @@
 """Tests of the figures of the bench of choosers."""
 
+import dataclasses
+
 import pytest
 
 from laburnumford_objects import check
@@ -59,6 +61,12 @@
     assert found.amplification == pytest.approx(1.2)
 
 
+def test_late_generator_is_shown():
+    """Fails if a starved caller process cannot be told from a slow system."""
+    late = [dataclasses.replace(made(number, 0.5), sent=number / 10 + 0.3) for number in range(9)]
+    assert outcome_of(late).late_p99_ms == pytest.approx(300)
+
+
 @pytest.mark.parametrize("made_set", [policy._deployment(), policy._chain_deployment()])
 def test_deployments_have_the_sizes_of_the_design(made_set):
     """Fails if the bench measures a smaller fleet than it states."""
