--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -24,6 +24,10 @@
 _RETRY_OWN_REASONS = frozenset({reason.Reason.DEADLINE})
 
 
+_OWN_BACKOFF_S = 1.0
+"""The own server is preferred by its free slots. One that refuses or fails fast always has
+some, so after a failure the chooser decides, as it does about any other server."""
+
 PeerResult = Callable[[str, bool, bool, float], None]
 """Takes the server name, whether its node answered, whether it is draining, and the
 monotonic time when the call was sent."""
@@ -65,6 +69,7 @@
         self._on_peer_version = on_peer_version
         self._on_peer_result = on_peer_result
         self._metrics = counters
+        self._own_backoff_until_s = 0.0
         self._clock = clock
 
     async def dispatch(
@@ -129,9 +134,10 @@
         excluded: frozenset[str],
     ) -> str | None:
         own = self._server_name
-        if state.serves(own) and own not in excluded and self._server.has_capacity():
-            return own
         now = self._clock()
+        preferred = now >= self._own_backoff_until_s and self._server.has_capacity()
+        if preferred and state.serves(own) and own not in excluded:
+            return own
         name = state.chooser.choose(now, excluded)
         # With every server tried once, trying one again beats giving up.
         return name if name is not None or not excluded else state.chooser.choose(now)
@@ -213,12 +219,14 @@
             else:
                 ongoing = await self._call_peer(ongoing_call, name, resends, on_informational)
         except errors.RefusedError as error:
+            self._observe_own(name)
             ended(error.report, choice.Result.REFUSED)
             if error.report is not None:
                 state.observe_load(name, error.report)
             self._tell_fleet(name, True, error.why is reason.Reason.DRAINING, started_s)
             raise
         except errors.AttemptError as error:
+            self._observe_own(name)
             ended(None, choice.Result.FAILED)
             self._tell_fleet(name, not isinstance(error, errors.NotWrittenError), False, started_s)
             raise
@@ -240,6 +248,11 @@
         self._tell_fleet(name, True, False, started_s)
         return ongoing
 
+    def _observe_own(self, name: str) -> None:
+        """Ends the preference for the own server for a while after it gave no answer."""
+        if name == self._server_name:
+            self._own_backoff_until_s = self._clock() + _OWN_BACKOFF_S
+
     def _tell_fleet(self, name: str, answered: bool, draining: bool, started_s: float) -> None:
         if name != self._server_name:
             self._on_peer_result(name, answered, draining, started_s)
