--- a/packages/testkit/src/laburnumford_testkit/processes/peers.py
+++ b/packages/testkit/src/laburnumford_testkit/processes/peers.py
@@ -16,17 +16,16 @@
         pid_by_name: running processes, started by the caller.
         remote: IP and port of the peer, as an accepted connection reports it.
     """
-    inode = _inode(remote)
-    if inode is None:
+    wanted = {f"socket:[{inode}]" for inode in _inodes(remote)}
+    if not wanted:
         return None
-    wanted = f"socket:[{inode}]"
     for name, pid in pid_by_name.items():
         try:
             links = [os.readlink(path) for path in pathlib.Path(f"/proc/{pid}/fd").iterdir()]
         except OSError:
             # The process has ended, or closed a descriptor while the folder was read.
             links = _links_one_by_one(pid)
-        if wanted in links:
+        if not wanted.isdisjoint(links):
             return name
     return None
 
@@ -45,14 +44,20 @@
     return links
 
 
-def _inode(local: tuple[str, int]) -> str | None:
-    """Returns the inode of the socket with a local IPv4 address."""
+def _inodes(local: tuple[str, int]) -> set[str]:
+    """Returns the inodes of the sockets with a local IPv4 address.
+
+    gRPC connects from IPv6 sockets, whose IPv4 addresses are mapped ones in the table `tcp6`.
+    Connections to different targets may share a local address, so there may be several.
+    """
     host, port = local
     (number,) = struct.unpack("=I", socket.inet_aton(host))
-    wanted = f"{number:08X}:{port:04X}"
-    with pathlib.Path("/proc/net/tcp").open(encoding="ascii") as table:
-        for line in table:
-            fields = line.split()
-            if fields[1] == wanted and fields[3] == _ESTABLISHED:
-                return fields[9]
-    return None
+    found = set()
+    for table_name, prefix in (("tcp", ""), ("tcp6", "0000000000000000FFFF0000")):
+        wanted = f"{prefix}{number:08X}:{port:04X}"
+        with pathlib.Path("/proc/net", table_name).open(encoding="ascii") as table:
+            for line in table:
+                fields = line.split()
+                if fields[1] == wanted and fields[3] == _ESTABLISHED:
+                    found.add(fields[9])
+    return found
