Test the directions of a partition

Cause: Cluster.partition was rewritten for one-way partitions, and its tests covered only the two-way case.

Change: a test of the directions that are held, with proxies that record them.

--- a/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/test_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import time
+from typing import Any
 
 import pytest
 import pytest_asyncio
@@ -185,3 +186,34 @@
     cluster = processes.cluster.Cluster(objects=nordvarde, folder=tmp_path)
     with pytest.raises(errors.TestkitError, match="partition needs proxied"):
         cluster.partition(["accounts-1"], ["accounts-2"])
+
+
+class _RecordingProxy:
+    """Keeps the faults that were set by source."""
+
+    def __init__(self):
+        self.faults_by_source = {}
+
+    def set_faults(self, faults, source):
+        """Records the faults."""
+        self.faults_by_source[source] = faults
+
+
+@pytest.mark.parametrize("one_way", [False, True])
+def test_partition_holds_the_named_directions(nordvarde, tmp_path, one_way):
+    """Guards against a one-way partition that holds both ways, or the wrong way."""
+    made = processes.cluster.Cluster(
+        objects=nordvarde,
+        folder=tmp_path,
+        proxied=frozenset({"peer", "control"}),
+    )
+    recording: dict[Any, Any] = {
+        (kind, name): _RecordingProxy() for kind in ("peer", "control") for name in "ab"
+    }
+    made.proxies_by_name.update(recording)
+    made.partition(["a"], ["b"], one_way=one_way)
+    for kind in ("peer", "control"):
+        from_a = recording[kind, "b"].faults_by_source["a"]
+        from_b = recording[kind, "a"].faults_by_source["b"]
+        assert (from_a.to_target.pause, from_a.to_caller.pause) == (True, not one_way)
+        assert (from_b.to_target.pause, from_b.to_caller.pause) == (not one_way, True)
