--- a/packages/node/src/laburnumford_node/stall_clock.py
+++ b/packages/node/src/laburnumford_node/stall_clock.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
-_TICK_S = 0.02
+_TICK_S = 0.04
 _THRESHOLD_S = 0.1
 """Several ticks, as a busy event loop delays ticks too."""
 
 _BACKLOG_S = 0.1
 """Requests read this long after a stall may still have waited in the kernel during it."""
 
-_LATE_TICK_S = 0.03
+_LATE_TICK_S = 0.06
 """Ticks this far apart show that the node still works through what waited."""
 
 
