Run the first attempt of a hedged call in the task of the caller

Change: a timer starts the second attempt, and its answer cancels the caller's task out of the first one, as asyncio.timeout does.

--- a/packages/node/src/laburnumford_node/dispatch.py
+++ b/packages/node/src/laburnumford_node/dispatch.py
@@ -198,8 +198,7 @@
             # Informational answers of two servers would mix.
             return loop.create_task(attempt(other, resends + 1, None))
 
-        first = loop.create_task(attempt(name, resends, on_informational))
-        return await race.race(first, delay_s, start_second)
+        return await race.race(attempt(name, resends, on_informational), delay_s, start_second)
 
     async def _attempt(
         self,
--- a/packages/node/src/laburnumford_node/race.py
+++ b/packages/node/src/laburnumford_node/race.py
@@ -1,7 +1,7 @@
 """Runs two attempts of one call side by side."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from laburnumford_node import errors, exchange
 
@@ -9,52 +9,109 @@
 
 
 async def race(
-    first: Attempt, delay_s: float, start_second: Callable[[], Attempt | None]
+    first: Awaitable[exchange.Exchange],
+    delay_s: float,
+    start_second: Callable[[], Attempt | None],
 ) -> exchange.Exchange:
     """Returns the exchange of the first attempt that is answered; the other one is cancelled.
 
+    The first attempt runs in the calling task, so that a call that is not slow costs a
+    timer only. An answer of the second attempt cancels the task out of the first one, in
+    the way of `asyncio.timeout`.
+
     Args:
-        first: running attempt.
+        first: first attempt, not started yet.
         delay_s: seconds after which a second attempt may start.
         start_second: starts the second attempt, or returns None if there is to be none.
 
     Raises:
         AttemptError: no attempt was answered. An unknown outcome goes before a refusal.
     """
-    attempts = [first]
-    winner: Attempt | None = None
+    running = _Race(start_second)
+    timer = asyncio.get_running_loop().call_later(delay_s, running.start_second)
     try:
-        await asyncio.wait(attempts, timeout=delay_s)
-        if not first.done():
-            second = start_second()
-            if second is not None:
-                attempts.append(second)
-        pending = set(attempts)
-        while pending and winner is None:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            winner = next((one for one in attempts if one in done and _answered(one)), None)
-        if winner is None:
-            raise _worst(attempts)
-        return winner.result()
+        found = await first
+    except asyncio.CancelledError:
+        return await running.resume_after_cancel()
+    except errors.AttemptError as failure:
+        running.end_first()
+        return await running.wait_second(failure)
     finally:
-        await _cancel([one for one in attempts if one is not winner])
+        timer.cancel()
+        running.end_first()
+    await running.cancel_second()
+    return found
+
+
+class _Race:
+    """The second attempt of a race and its effect on the task that runs the first one."""
 
+    def __init__(self, start_second: Callable[[], Attempt | None]) -> None:
+        self._start_second = start_second
+        self._task = asyncio.current_task()
+        self._second: Attempt | None = None
+        self._first_runs = True
+        self._interrupted = False
 
-def _answered(attempt: Attempt) -> bool:
-    return not attempt.cancelled() and attempt.exception() is None
+    def start_second(self) -> None:
+        """Starts the second attempt, if there is to be one."""
+        self._second = self._start_second()
+        if self._second is not None:
+            self._second.add_done_callback(self._end_second)
 
+    def end_first(self) -> None:
+        """Keeps an answer of the second attempt from interrupting the task any more."""
+        self._first_runs = False
 
-def _worst(attempts: list[Attempt]) -> BaseException:
-    """Returns the failure that says least about whether the request ran."""
-    failures = [found for one in attempts if (found := one.exception()) is not None]
-    unexpected = [one for one in failures if not isinstance(one, errors.AttemptError)]
-    unknown = [one for one in failures if isinstance(one, errors.UnknownOutcomeError)]
-    return (unexpected or unknown or failures)[0]
+    async def resume_after_cancel(self) -> exchange.Exchange:
+        """Returns the answer of the second attempt, if that was what cancelled the first.
 
+        Raises:
+            CancelledError: the caller of the race was cancelled.
+        """
+        self.end_first()
+        second = self._second
+        ours = self._interrupted and self._task is not None and self._task.uncancel() == 0
+        if ours and second is not None:
+            return second.result()
+        await self.cancel_second()
+        raise asyncio.CancelledError
 
-async def _cancel(attempts: list[Attempt]) -> None:
-    for attempt in attempts:
-        attempt.cancel()
-    for ended in await asyncio.gather(*attempts, return_exceptions=True):
+    async def wait_second(self, failure: errors.AttemptError) -> exchange.Exchange:
+        """Returns the answer of the second attempt after the first one has failed.
+
+        Raises:
+            AttemptError: the failure that says least about whether the request ran.
+        """
+        second = self._second
+        if second is None:
+            raise failure
+        try:
+            await asyncio.wait({second})
+        except asyncio.CancelledError:
+            await self.cancel_second()
+            raise
+        error = second.exception()
+        if error is None:
+            return second.result()
+        if isinstance(failure, errors.UnknownOutcomeError) and isinstance(
+            error, errors.AttemptError
+        ):
+            raise failure
+        raise error
+
+    async def cancel_second(self) -> None:
+        """Ends the second attempt; an answer that it got in the meantime is abandoned."""
+        second = self._second
+        if second is None:
+            return
+        second.cancel()
+        (ended,) = await asyncio.gather(second, return_exceptions=True)
         if isinstance(ended, exchange.Exchange):
             ended.abandon()
+
+    def _end_second(self, second: Attempt) -> None:
+        answered = not second.cancelled() and second.exception() is None
+        if answered and self._first_runs and self._task is not None:
+            self._interrupted = True
+            self._task.cancel()
--- a/packages/node/src/laburnumford_node/tests/test_race.py
+++ b/packages/node/src/laburnumford_node/tests/test_race.py
@@ -113,6 +113,38 @@
     assert second.cancelled
 
 
+async def _never():
+    await asyncio.sleep(5.0)
+    return Exchange()
+
+
+async def test_won_race_leaves_the_task_of_the_caller_running():
+    """Fails if the next wait of the caller ends with the cancellation meant for the loser."""
+    second = Attempt(0.01)
+    assert await race.race(_never(), 0.01, second.start) is second.exchange
+    await asyncio.sleep(0)
+    assert asyncio.current_task().cancelling() == 0
+
+
+async def test_caller_that_leaves_as_the_second_attempt_is_answered():
+    """Fails if the caller's cancellation is lost, or the answer's connection is not given back."""
+    gate = asyncio.Event()
+    exchange_of_second = Exchange()
+
+    async def answer():
+        await gate.wait()
+        return exchange_of_second
+
+    second = asyncio.create_task(answer())
+    running = asyncio.create_task(race.race(_never(), 0.0, lambda: second))
+    await asyncio.sleep(0.02)
+    second.add_done_callback(lambda _: running.cancel())
+    gate.set()
+    with pytest.raises(asyncio.CancelledError):
+        await running
+    assert exchange_of_second.abandoned
+
+
 def test_percentile_of_the_latest_latencies():
     """Fails if hedges start too early or follow old latencies."""
     subject = latency_window.LatencyWindow()
