Apply the published queue limit and grace; find the own policies without a scan

Cause: queue_limit and grace_s of the published policies had no effect, and each version searched all services for the own server. Change: OwnPolicyFinder; the admission takes over a changed queue limit; a stop waits for the longest published grace, the settings' one only before a version is in force.

--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -50,7 +50,7 @@
         self._clock = clock
         self._entry_ids = itertools.count(1)
         self._waiting_by_id: dict[int, asyncio.Future[None]] = {}
-        self._slots = 0
+        self._limits = (0, 0)
         self.nested_wait = nested_wait.NestedWait(clock=clock)
         self.leaving = False
         self._server_draining = False
@@ -145,12 +145,12 @@
             ongoing, connection, method, target, head, payload, on_informational, deadline_s
         )
 
-    def apply_limits(self, *, slots: int) -> None:
-        """Takes over the published slots of the server, if they changed."""
-        if slots == self._slots:
+    def apply_limits(self, *, slots: int, queue_limit: int) -> None:
+        """Takes over the published limits of the server, if they changed."""
+        if (slots, queue_limit) == self._limits:
             return
-        self._slots = slots
-        self._settle(self._admission.apply(slots, self._clock()))
+        self._limits = (slots, queue_limit)
+        self._settle(self._admission.apply(slots, self._clock(), queue_limit=queue_limit))
 
     def observe_draining(self, draining: bool) -> None:
         """Takes over what the backend server says about itself."""
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -17,6 +17,7 @@
     edge,
     exposure,
     metrics,
+    own_policies,
     pages,
     peer,
     peer_client,
@@ -29,7 +30,7 @@
     view,
 )
 from laburnumford_node.http import pool, server, server_connection
-from laburnumford_objects import measuring, node_settings, object_set, resolution
+from laburnumford_objects import node_settings, object_set
 from laburnumford_policy.admission import admission
 from laburnumford_policy.once import ticket_book
 from laburnumford_policy.retry import cause
@@ -56,6 +57,8 @@
         self._view: view.View | None = None
         self._drain_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._policy_finder = own_policies.OwnPolicyFinder(server_name=settings.backend_server)
+        self._policies: own_policies.OwnPolicies | None = None
         self._metrics = metrics.Metrics()
         self._stalls = stall_clock.StallClock(clock=self._clock)
         self._fleet = fleets.Fleet(
@@ -208,7 +211,8 @@
         self._tickets.draining = True
         self._adjacent.drain()
         self._fleet.leave()
-        grace_s = self._settings.grace_s
+        published = self._policies
+        grace_s = self._settings.grace_s if published is None else published.grace_s
         await asyncio.sleep(min(_LEAVE_GRACE_S, grace_s))
         resets = await asyncio.gather(
             self._edge_server.drain(grace_s), self._peer_server.drain(grace_s)
@@ -286,22 +290,16 @@
 
     def _apply(self, objects: object_set.ObjectSet, version: int) -> None:
         self._view = self._views.build(objects, version)
+        self._policies = self._policy_finder.find(objects)
         own = self._view.servers_by_name.get(self._settings.backend_server)
         if own is not None:
-            self._adjacent.apply_limits(slots=own.slots)
-        self._prober.apply(self._own_measuring(objects))
+            self._adjacent.apply_limits(
+                slots=own.slots, queue_limit=self._policies.queue_limit or 0
+            )
+        self._prober.apply(self._policies.measuring)
         self._states.apply()
         _LOG.info("node: version %d in force", version)
 
-    def _own_measuring(self, objects: object_set.ObjectSet) -> measuring.Measuring | None:
-        """Returns the measuring budget of the adjacent server, None if it is not published."""
-        name = self._settings.backend_server
-        for service in objects.services_by_name.values():
-            servers = objects.groups_by_name[service.group].backend_servers
-            if any(server.name == name for server in servers):
-                return resolution.resolve(objects.policies_by_name, service.policy).measuring
-        return None
-
     def _observe_peer_version(self, value: bytes) -> None:
         if value.isdigit() and len(value) <= 18:
             self._fleet.observe_peer_version("", int(value))
--- a/packages/node/src/laburnumford_node/tests/test_adjacent.py
+++ b/packages/node/src/laburnumford_node/tests/test_adjacent.py
@@ -49,7 +49,7 @@
         connections=connections,
         clock=time.monotonic,
     )
-    server.apply_limits(slots=2)
+    server.apply_limits(slots=2, queue_limit=8)
     yield backend, server
     connections.close()
     listener.close()
@@ -91,7 +91,7 @@
     backend.work_s = 0.2
     running = [asyncio.create_task(run(server)) for _ in range(2)]
     await asyncio.sleep(0.05)
-    server.apply_limits(slots=1)
+    server.apply_limits(slots=1, queue_limit=8)
     assert server.report().running == 2
     assert not server.has_capacity()
     await asyncio.gather(*running)
--- a/packages/node/src/laburnumford_node/tests/test_race.py
+++ b/packages/node/src/laburnumford_node/tests/test_race.py
@@ -123,7 +123,9 @@
     second = Attempt(0.01)
     assert await race.race(_never(), 0.01, second.start) is second.exchange
     await asyncio.sleep(0)
-    assert asyncio.current_task().cancelling() == 0
+    task = asyncio.current_task()
+    assert task is not None
+    assert task.cancelling() == 0
 
 
 async def test_caller_that_leaves_as_the_second_attempt_is_answered():
--- a/packages/policy/src/laburnumford_policy/admission/admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/admission.py
@@ -156,16 +156,27 @@
         """
         return bool(self._waiting.remove_if(lambda waiting: waiting.entry_id == entry_id))
 
-    def apply(self, slots: int, now: float) -> changes.Changes:
-        """Takes over a changed number of slots and starts waiting entries if there are more.
+    def apply(self, slots: int, now: float, *, queue_limit: int | None = None) -> changes.Changes:
+        """Takes over changed limits and starts waiting entries if there are more slots.
 
         Running requests go on and keep being counted, so that fewer slots are in force as
-        soon as enough of them have ended.
+        soon as enough of them have ended. Waiting entries above a lower limit stay.
+
+        Args:
+            slots: requests that the server runs at once.
+            now: monotonic time in seconds.
+            queue_limit: entries that may wait; None leaves the limit as it is.
 
         Raises:
-            ParameterError: the number of slots lies outside its range.
+            ParameterError: a limit lies outside its range.
         """
-        parameters.check("admission", {"slots": self._TABLE["slots"]}, {"slots": slots})
+        limit = self._queue_limit if queue_limit is None else queue_limit
+        parameters.check(
+            "admission",
+            {name: self._TABLE[name] for name in ("slots", "queue_limit")},
+            {"slots": slots, "queue_limit": limit},
+        )
+        self._queue_limit = limit
         self._limiter.apply(slots)
         return self._dispatch(now)
 
--- a/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
+++ b/packages/policy/src/laburnumford_policy/admission/tests/test_admission.py
@@ -184,6 +184,17 @@
     assert subject.report().limit == 6
 
 
+def test_changed_queue_limit_holds_for_the_next_requests():
+    """Fails if a published queue limit has no effect, or drops requests that wait already."""
+    subject = admission.Admission(slots=1, queue_limit=9)
+    assert [admit(subject, number).outcome for number in range(3)] == [RUN, QUEUED, QUEUED]
+    assert subject.apply(1, 0.1, queue_limit=1).dropped == ()
+    assert admit(subject, 3).outcome is outcome.Outcome.REFUSED
+    assert subject.report().queued == 2
+    assert subject.apply(1, 0.1).dropped == ()
+    assert admit(subject, 4).outcome is outcome.Outcome.REFUSED
+
+
 def test_changed_slots_are_checked(two_slots):
     """Fails if a server without slots gets requests that never start."""
     with pytest.raises(errors.ParameterError):
