Bound the bytes buffered by a process

Cause: buffer_bytes of the settings had no effect, and nothing bounded the buffers of all calls together. Change: BufferLimit, shared by the connections of a node; new setting buffer_total_bytes; the status shows what is held; buffers that nobody reads are given back.

--- a/packages/node/src/laburnumford_node/exchange.py
+++ b/packages/node/src/laburnumford_node/exchange.py
@@ -96,6 +96,7 @@
             self._upload.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._upload
+        self._connection.end_exchange()
         self._release(whole)
 
     def abandon(self) -> None:
@@ -106,6 +107,7 @@
         self._connection.close()
         if self._upload is not None:
             self._upload.cancel()
+        self._connection.end_exchange()
         self._release(False)
 
     async def _send_stream(self, payload: payloads.Payload, ask_first: bool) -> None:
--- a/packages/node/src/laburnumford_node/http/__init__.py
+++ b/packages/node/src/laburnumford_node/http/__init__.py
@@ -6,6 +6,7 @@
 
 from laburnumford_node.http import (
     body,
+    buffer_limit,
     client_connection,
     errors,
     fields,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "body",
+    "buffer_limit",
     "client_connection",
     "errors",
     "fields",
--- a/packages/node/src/laburnumford_node/http/body.py
+++ b/packages/node/src/laburnumford_node/http/body.py
@@ -5,11 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from laburnumford_node.http import fields
-
-HIGH_WATER_BYTES = 32 * 1024
-"""Reading from the socket stops above this size; one read of 32 KiB may follow,
-which makes 64 KiB per direction and call."""
+from laburnumford_node.http import buffer_limit, fields
 
 
 class FlowControl(Protocol):
@@ -27,13 +23,16 @@
 
     Args:
         flow: connection whose reading stops while the buffer is full.
+        limit: bound on the buffered bytes.
     """
 
     __slots__ = (
         "_chunks",
+        "_discarded",
         "_ended",
         "_error",
         "_flow",
+        "_limit",
         "_paused",
         "_size",
         "_started",
@@ -43,8 +42,10 @@
         "trailers",
     )
 
-    def __init__(self, flow: FlowControl) -> None:
+    def __init__(self, flow: FlowControl, limit: buffer_limit.BufferLimit) -> None:
         self._flow = flow
+        self._limit = limit
+        self._discarded = False
         self._chunks: collections.deque[bytes] = collections.deque()
         self._size = 0
         self._ended = False
@@ -73,10 +74,13 @@
 
     def feed(self, data: bytes) -> None:
         """Adds received bytes."""
+        self.received_bytes += len(data)
+        if self._discarded:
+            return
         self._chunks.append(data)
         self._size += len(data)
-        self.received_bytes += len(data)
-        if self._size > HIGH_WATER_BYTES and not self._paused:
+        self._limit.held_bytes += len(data)
+        if not self._paused and self._limit.must_pause(self._size):
             self._paused = True
             self._flow.pause_reading()
         self._wake()
@@ -99,13 +103,22 @@
             return b""
         self._started = True
         data = self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
-        self._chunks.clear()
-        self._size = 0
+        self._clear()
         if self._paused:
             self._paused = False
             self._flow.resume_reading()
         return data
 
+    def discard(self) -> None:
+        """Drops the bytes that nobody will read, also those that still arrive."""
+        self._discarded = True
+        self._clear()
+
+    def _clear(self) -> None:
+        self._chunks.clear()
+        self._limit.held_bytes -= self._size
+        self._size = 0
+
     async def read(self) -> bytes:
         """Returns the next bytes, or ``b""`` at the end.
 
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -5,7 +5,15 @@
 
 import httptools
 
-from laburnumford_node.http import _connection, _read_buffer, body, errors, fields, response
+from laburnumford_node.http import (
+    _connection,
+    _read_buffer,
+    body,
+    buffer_limit,
+    errors,
+    fields,
+    response,
+)
 
 _MAX_FIELDS = 256
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -19,10 +27,14 @@
     The connection never resends a request. It is reusable only after an answer
     that ended as declared, with no byte before, between or after that does not
     belong to it.
+
+    Args:
+        buffers: bound on the buffered bytes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, buffers: buffer_limit.BufferLimit) -> None:
         super().__init__()
+        self._buffers = buffers
         self._parser = httptools.HttpResponseParser(self)
         self._head_waiter: asyncio.Future[response.Response] | None = None
         self._continue_waiter: asyncio.Future[bool] | None = None
@@ -200,6 +212,11 @@
         self._continue_waiter = asyncio.get_running_loop().create_future()
         return await self._continue_waiter
 
+    def end_exchange(self) -> None:
+        """Drops what is left of the answer, which nobody reads any more."""
+        if self._body is not None:
+            self._body.discard()
+
     def close(self) -> None:
         """Closes the connection, which cancels an exchange in progress."""
         if self._transport is not None:
@@ -236,7 +253,7 @@
             content_length=int(length) if length is not None else None,
             chunked=coding is not None,
             bodyless=bodyless,
-            body=body.Body(self),
+            body=body.Body(self, self._buffers),
         )
 
     def _fail(self, error: Exception) -> None:
--- a/packages/node/src/laburnumford_node/http/pool.py
+++ b/packages/node/src/laburnumford_node/http/pool.py
@@ -4,7 +4,7 @@
 import collections
 from collections.abc import Awaitable, Callable
 
-from laburnumford_node.http import client_connection, errors
+from laburnumford_node.http import buffer_limit, client_connection, errors
 
 Greeting = Callable[[client_connection.ClientConnection], Awaitable[None]]
 """Runs on each new connection before its first request."""
@@ -19,6 +19,7 @@
         idle_timeout_s: idle connections older than this are closed.
         max_idle: idle connections kept per address.
         greeting: runs on each new connection, or None.
+        buffers: bound on the buffered bytes.
     """
 
     def __init__(
@@ -29,12 +30,14 @@
         idle_timeout_s: float,
         max_idle: int = 64,
         greeting: Greeting | None = None,
+        buffers: buffer_limit.BufferLimit | None = None,
     ) -> None:
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._max_idle = max_idle
         self._greeting = greeting
+        self._buffers = buffers if buffers is not None else buffer_limit.BufferLimit()
         self._idle_by_address: dict[
             str, collections.deque[client_connection.ClientConnection]
         ] = {}
@@ -84,6 +87,9 @@
                 connection.close()
         self._idle_by_address.clear()
 
+    def _create(self) -> client_connection.ClientConnection:
+        return client_connection.ClientConnection(buffers=self._buffers)
+
     def _is_fresh(self, connection: client_connection.ClientConnection) -> bool:
         # The receiving node closes idle connections after idle_timeout_s. Half of it
         # keeps this side from writing to a connection that is about to be closed.
@@ -95,9 +101,7 @@
         connection: client_connection.ClientConnection | None = None
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    client_connection.ClientConnection, host, int(port)
-                )
+                _, connection = await loop.create_connection(self._create, host, int(port))
                 if self._greeting is not None:
                     await self._greeting(connection)
         except (OSError, TimeoutError, errors.HttpError) as error:
--- a/packages/node/src/laburnumford_node/http/server.py
+++ b/packages/node/src/laburnumford_node/http/server.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from laburnumford_node.http import server_connection
+from laburnumford_node.http import buffer_limit, server_connection
 
 _LOG = logging.getLogger("laburnumford.http")
 _SWEEP_INTERVAL_S = 1.0
@@ -29,6 +29,7 @@
         header_timeout_s: limit for receiving a header section.
         idle_timeout_s: connections without a request are closed after this time.
         clock: monotonic clock in seconds.
+        buffers: bound on the buffered bytes.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         header_timeout_s: float,
         idle_timeout_s: float,
         clock: Callable[[], float],
+        buffers: buffer_limit.BufferLimit | None = None,
     ) -> None:
         self._address = address
         self._handler = handler
@@ -51,6 +53,7 @@
         self._header_timeout_s = header_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._clock = clock
+        self._buffers = buffers if buffers is not None else buffer_limit.BufferLimit()
         self._connections: set[server_connection.ServerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
@@ -143,6 +146,7 @@
             header_bytes=self._header_bytes,
             clock=self._clock,
             on_closed=self._connections.discard,
+            buffers=self._buffers,
         )
         connection.owner = self
         self._connections.add(connection)
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -11,7 +11,15 @@
 
 import httptools
 
-from laburnumford_node.http import _connection, _read_buffer, body, errors, fields, request
+from laburnumford_node.http import (
+    _connection,
+    _read_buffer,
+    body,
+    buffer_limit,
+    errors,
+    fields,
+    request,
+)
 
 Handler = Callable[[request.Request, "ServerConnection"], Awaitable[None]]
 """Answers one request through the connection that received it."""
@@ -40,6 +48,7 @@
         header_bytes: limit of the header section in bytes.
         clock: monotonic clock in seconds.
         on_closed: called once when the connection has ended.
+        buffers: bound on the buffered bytes.
     """
 
     def __init__(
@@ -50,6 +59,7 @@
         header_bytes: int,
         clock: Callable[[], float],
         on_closed: Callable[["ServerConnection"], None],
+        buffers: buffer_limit.BufferLimit,
     ) -> None:
         super().__init__()
         self._handler = handler
@@ -57,6 +67,7 @@
         self._header_bytes = header_bytes
         self._clock = clock
         self._on_closed = on_closed
+        self._buffers = buffers
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
         self._requests: collections.deque[request.Request | errors.BadMessageError] = (
@@ -113,6 +124,9 @@
         self._lost = True
         if self._reading_body is not None:
             self._reading_body.fail(errors.ConnectionLostError(f"caller closed: {exc}"))
+        for waiting in self._requests:
+            if isinstance(waiting, request.Request):
+                waiting.body.discard()
         self._end_drain()
         self._wake()
         if self._task is not None and not self._detached:
@@ -296,11 +310,10 @@
         finally:
             self._current = None
             self._detached = False
+            received.body.discard()
         # An unread body would be parsed as the next request by a careless peer,
         # so the connection ends unless the body was received whole.
         reusable = received.keep_alive and received.body.received and not self._lost
-        if reusable:
-            received.body.take()
         return reusable and not self._close_after_answer and not self._draining
 
     def _build_request(self) -> request.Request:
@@ -318,7 +331,7 @@
             )
         if method == b"CONNECT" or b"upgrade" in values:
             raise errors.BadMessageError(501, "Upgrade and CONNECT are not supported")
-        received_body = body.Body(self)
+        received_body = body.Body(self, self._buffers)
         expects = values.get(b"expect")
         if expects is not None and version == "1.1":
             if expects.lower() != b"100-continue":
--- a/packages/node/src/laburnumford_node/http/tests/test_server_connection.py
+++ b/packages/node/src/laburnumford_node/http/tests/test_server_connection.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from laburnumford_node import problem
-from laburnumford_node.http import server
+from laburnumford_node.http import buffer_limit, server
 from laburnumford_node.http.tests import conftest
 
 _HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
@@ -244,3 +244,29 @@
         writer.close()
     finally:
         await listening.close()
+
+
+async def test_full_process_stops_reading_and_gives_all_bytes_back(start_server, open_raw):
+    """Guards against many callers that together fill the memory of the node."""
+    limit = buffer_limit.BufferLimit(process_bytes=100_000)
+    release = asyncio.Event()
+
+    async def hold(received, connection):
+        await release.wait()
+        while await received.body.read():
+            pass
+        connection.write(conftest.ANSWER_HEAD % 0)
+
+    listening = await start_server(hold, buffers=limit)
+    callers = [await open_raw(listening) for _ in range(10)]
+    for _, writer in callers:
+        writer.write(_HEAD + b"Content-Length: 60000\r\n\r\n" + b"a" * 60_000)
+    async with asyncio.timeout(5):
+        while limit.pauses_count < 5:
+            await asyncio.sleep(0.001)
+    assert limit.held_bytes <= 100_000 + 10 * 32 * 1024
+    callers[0][1].transport.abort()
+    release.set()
+    for reader, _ in callers[1:]:
+        assert (await conftest.read_answer(reader))[0] == 200
+    assert limit.held_bytes == 0
--- a/packages/node/src/laburnumford_node/node.py
+++ b/packages/node/src/laburnumford_node/node.py
@@ -29,7 +29,7 @@
     tracing,
     view,
 )
-from laburnumford_node.http import pool, server, server_connection
+from laburnumford_node.http import buffer_limit, pool, server, server_connection
 from laburnumford_objects import node_settings, object_set
 from laburnumford_policy.admission import admission
 from laburnumford_policy.once import ticket_book
@@ -83,16 +83,21 @@
         settings = self._settings
         limits = settings.limits
         clock = self._clock
+        self._buffers = buffer_limit.BufferLimit(
+            call_bytes=limits.buffer_bytes, process_bytes=limits.buffer_total_bytes
+        )
         self._backend_connections = pool.Pool(
             clock=clock,
             connect_timeout_s=limits.connect_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
+            buffers=self._buffers,
         )
         self._peer_connections = pool.Pool(
             clock=clock,
             connect_timeout_s=limits.connect_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
             greeting=peer_client.greet,
+            buffers=self._buffers,
         )
         # The published slots replace this first limit when a version is in force.
         self._adjacent = adjacent.AdjacentServer(
@@ -173,6 +178,7 @@
             header_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
             clock=self._clock,
+            buffers=self._buffers,
         )
 
     async def run(self) -> None:
@@ -253,6 +259,10 @@
             },
             "measuring": self._prober.status(),
             "stalls": self._stalls.stalls_count,
+            "buffers": {
+                "held_bytes": self._buffers.held_bytes,
+                "pauses": self._buffers.pauses_count,
+            },
             "connections": {
                 "edge": self._edge_server.connection_count,
                 "peer": self._peer_server.connection_count,
--- a/packages/objects/src/laburnumford_objects/node_limits.py
+++ b/packages/objects/src/laburnumford_objects/node_limits.py
@@ -13,7 +13,18 @@
         "Size of a header section.", "bytes", ge=1024, le=1_048_576, default=32_768
     )
     buffer_bytes: int = _model.declared(
-        "Bytes buffered per direction of a call.", "bytes", ge=1024, le=1_048_576, default=65_536
+        "Bytes buffered per direction of a call, of which one read takes up to 32,768.",
+        "bytes",
+        ge=32_768,
+        le=1_048_576,
+        default=65_536,
+    )
+    buffer_total_bytes: int = _model.declared(
+        "Bytes buffered for all calls, above which reading stops.",
+        "bytes",
+        ge=1_048_576,
+        le=4_294_967_296,
+        default=67_108_864,
     )
     header_timeout_s: float = _model.declared(
         "Time to read a header section.", "s", ge=0.1, le=600, default=10.0
