Check that nodes give all buffers back

Cause: a leak of the count would stop reading for good after enough broken calls. Change: test_answers waits until no node holds buffered bytes.

--- a/packages/testkit/src/laburnumford_testkit/tests/system/test_answers.py
+++ b/packages/testkit/src/laburnumford_testkit/tests/system/test_answers.py
@@ -44,6 +44,10 @@
                 fault.Fault(kind=kind, share=0.05, delay_s=0.05, bytes=37)
             )
         await _run_calls(running, caller, generator)
+        # Cancelled and broken calls must give their buffers back.
+        async with asyncio.timeout(5):
+            while await _held_bytes(running):
+                await asyncio.sleep(0.05)
         logs = evidence.Evidence(records=tuple(caller.records), runs=running.runs())
         assert judge.judge(logs) == ()
     answered = [record for record in caller.records if record.whole and record.status == 200]
@@ -51,6 +55,11 @@
     assert len(answered) >= _VERIFIED
 
 
+async def _held_bytes(running):
+    statuses = [await running.node(name).status() for name in running.nodes_by_name]
+    return sum(status["buffers"]["held_bytes"] for status in statuses)
+
+
 async def _run_calls(running, caller, generator):
     paths = [
         call.Call(kind=route.name, path=f"{route.path_prefix}/1")
