Collect header fields and name replaced fields in one place

Cause: client and server connection had the same collection of header fields, and both listeners the same set of fields that each hop replaces. Change: Connection collects fields, with the status of its side; header_names holds the set.

--- a/packages/node/src/laburnumford_node/edge.py
+++ b/packages/node/src/laburnumford_node/edge.py
@@ -218,10 +218,7 @@
 
 
 def _forwarded_head(received: request.Request) -> list[fields.Field]:
-    return fields.forwarded(received.fields, drop=_REPLACED)
-
-
-_REPLACED = frozenset({header_names.TRACEPARENT, b"expect"})
+    return fields.forwarded(received.fields, drop=header_names.REPLACED_AT_EACH_HOP)
 
 
 def _is_idempotent(received: request.Request, resolved: policy.Policy) -> bool:
--- a/packages/node/src/laburnumford_node/header_names.py
+++ b/packages/node/src/laburnumford_node/header_names.py
@@ -18,6 +18,9 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 TRACEPARENT = b"traceparent"
 
+REPLACED_AT_EACH_HOP = frozenset({TRACEPARENT, b"expect"})
+"""Fields that each node sends with its own value, or not at all."""
+
 KEPT_FROM_CALLERS = frozenset({TIMEOUT_MS, ATTEMPTS, DEPTH})
 """The own fields that callers may set; all others are dropped at the edge."""
 
--- a/packages/node/src/laburnumford_node/http/_connection.py
+++ b/packages/node/src/laburnumford_node/http/_connection.py
@@ -3,9 +3,10 @@
 import asyncio
 from typing import cast
 
-from laburnumford_node.http import _read_buffer
+from laburnumford_node.http import _read_buffer, errors, fields
 
 _WRITE_HIGH_WATER_BYTES = 32 * 1024
+_MAX_FIELDS = 256
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -16,6 +17,8 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._lost = False
+        self._fields: list[fields.Field] = []
+        self._trailers: list[fields.Field] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the transport."""
@@ -59,6 +62,17 @@
         finally:
             self._drain_waiter = None
 
+    def _collect_field(self, name: bytes, value: bytes, *, trailer: bool, status: int) -> None:
+        """Adds a field of the message being parsed.
+
+        Raises:
+            BadMessageError: there are too many fields; carries `status`.
+        """
+        if len(self._fields) + len(self._trailers) >= _MAX_FIELDS:
+            raise errors.BadMessageError(status, f"more than {_MAX_FIELDS} header fields")
+        collected = self._trailers if trailer else self._fields
+        collected.append((name.lower(), value))
+
     def _end_drain(self) -> None:
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -15,7 +15,6 @@
     response,
 )
 
-_MAX_FIELDS = 256
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 InformationalCallback = Callable[[int, Sequence[fields.Field]], None]
@@ -47,8 +46,6 @@
         self._informational = False
         self._status = 0
         self._reason = b""
-        self._fields: list[fields.Field] = []
-        self._trailers: list[fields.Field] = []
         self.on_informational: InformationalCallback | None = None
         self.wrote = False
         self.idle_since_s = 0.0
@@ -100,12 +97,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header field, or a trailer field after the body."""
-        if len(self._fields) + len(self._trailers) >= _MAX_FIELDS:
-            raise errors.BadMessageError(502, f"more than {_MAX_FIELDS} header fields")
-        if self._body is not None:
-            self._trailers.append((name.lower(), value))
-        else:
-            self._fields.append((name.lower(), value))
+        self._collect_field(name, value, trailer=self._body is not None, status=502)
 
     def on_headers_complete(self) -> None:
         """Hands the answer to the waiting task."""
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -28,7 +28,6 @@
 """Answers a request that could not be parsed."""
 
 _MAX_PIPELINED_REQUESTS = 1
-_MAX_FIELDS = 256
 _LINGER_S = 2.0
 _VERSIONS = frozenset({"1.0", "1.1"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -80,8 +79,6 @@
         self._reading_body: body.Body | None = None
         self._current: request.Request | None = None
         self._target = b""
-        self._fields: list[fields.Field] = []
-        self._trailers: list[fields.Field] = []
         self._section_bytes = 0
         self._in_header_section = False
         self._discarding = False
@@ -150,12 +147,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header field, or a trailer field after the body."""
-        if len(self._fields) + len(self._trailers) >= _MAX_FIELDS:
-            raise errors.BadMessageError(431, f"more than {_MAX_FIELDS} header fields")
-        if self._reading_body is not None:
-            self._trailers.append((name.lower(), value))
-        else:
-            self._fields.append((name.lower(), value))
+        self._collect_field(name, value, trailer=self._reading_body is not None, status=431)
 
     def on_headers_complete(self) -> None:
         """Queues the request for the task."""
--- a/packages/node/src/laburnumford_node/peer.py
+++ b/packages/node/src/laburnumford_node/peer.py
@@ -169,7 +169,9 @@
     def _server_head(
         self, received: request.Request, deadline_s: float, span: tracing.HopSpan
     ) -> list[fields.Field]:
-        head = fields.forwarded(received.fields, keep=_KEPT_TOWARDS_SERVER, drop=_REPLACED)
+        head = fields.forwarded(
+            received.fields, keep=_KEPT_TOWARDS_SERVER, drop=header_names.REPLACED_AT_EACH_HOP
+        )
         left_ms = max(int((deadline_s - self._clock()) * 1000), 1)
         head.append((header_names.TIMEOUT_MS, b"%d" % left_ms))
         head.append((header_names.TRACEPARENT, span.traceparent()))
@@ -193,7 +195,6 @@
 
 _KEPT_TOWARDS_SERVER = frozenset({header_names.ATTEMPTS, header_names.DEPTH})
 _KEPT_TOWARDS_NODE = frozenset({header_names.DRAINING})
-_REPLACED = frozenset({header_names.TRACEPARENT, b"expect"})
 
 
 def _priority(received: request.Request) -> str:
