Run the whole path of a mesh node on the platform

Cause: the platform publishes through a watched store and reaches servers only from their own VM, which the node's published object sets and tickets do not fit. Change: package mesh (edge, placement beside the server, streams and datagrams between nodes, few readers of the store), placement decisions in policy, translation in platform/. Before: no path.

--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -0,0 +1,318 @@
+"""Finds a backend server for a request, and another one where that is allowed."""
+
+import asyncio
+import itertools
+from typing import Any
+
+from laburnumford_mesh import (
+    call,
+    clock,
+    errors,
+    event_log,
+    frames,
+    local_server,
+    metrics,
+    peers,
+    services,
+)
+from laburnumford_policy.placement import server_view
+
+_MAX_REFUSALS = 5
+"""A request that so many nodes had no room for finds the service full."""
+
+_MIN_LEFT_S = 0.01
+"""With less time left than this no server is asked any more."""
+
+_UNREACHABLE_BLOCK_S = 0.5
+_LEAVING_BLOCK_S = 1.0
+_DOWN_BLOCK_S = 0.3
+_DEFAULT_WORK_S = 0.05
+_HEDGE_FACTOR = 2.0
+"""A second server is asked when the first takes twice the time that was expected of it."""
+
+_HEDGE_FLOOR_S = 0.03
+
+_ARRIVED_REASONS = frozenset({"server-refused", "other-server"})
+"""Refusals by a server itself: the request reached it, which counts as an arrival."""
+
+_BLOCK_S_BY_REASON = {
+    "peer-unreachable": _UNREACHABLE_BLOCK_S,
+    "leaving": _LEAVING_BLOCK_S,
+    "server-down": _DOWN_BLOCK_S,
+    "other-server": _LEAVING_BLOCK_S,
+}
+
+Result = frames.Answer | frames.Refusal | frames.Unknown
+
+
+class _Attempts:
+    """What was tried for one request."""
+
+    __slots__ = ("arrivals", "excluded", "last_failure", "maybe_ran", "refusals", "retry_after_s")
+
+    def __init__(self) -> None:
+        self.arrivals = 0
+        self.refusals = 0
+        self.maybe_ran = False
+        self.excluded: set[str] = set()
+        self.retry_after_s = 0.0
+        self.last_failure: frames.Answer | None = None
+
+
+class Dispatcher:
+    """Sends requests to servers, beside this node or beside others.
+
+    Args:
+        local: the server beside this node.
+        server_address: its address.
+        peers: the other nodes.
+        services: learned state.
+        log: structured log.
+        counters: metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: local_server.LocalServer,
+        server_address: str,
+        peers: peers.Peers,
+        services: services.Services,
+        log: event_log.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._local = local
+        self._server_address = server_address
+        self._peers = peers
+        self._services = services
+        self._log = log
+        self._metrics = counters
+        self._call_ids = itertools.count(1)
+
+    async def dispatch(self, ongoing: call.Call) -> frames.Answer:
+        """Returns the answer of a server.
+
+        Raises:
+            RefusedError: the request did not run and never will.
+            UnknownOutcomeError: the request may have run.
+        """
+        state = self._services.state(ongoing.service)
+        state.repeat_budget.observe_request(clock.now())
+        tried = _Attempts()
+        while True:
+            now = clock.now()
+            if ongoing.deadline_s - now < _MIN_LEFT_S:
+                return self._give_up(tried, "deadline")
+            view = state.placement.choose(
+                now, ongoing.route_name, _DEFAULT_WORK_S, tried.excluded
+            )
+            if view is None:
+                return self._give_up(tried, "no-server" if not tried.excluded else "no-room")
+            if tried.arrivals and not self._may_repeat(ongoing, state, tried):
+                return self._give_up(tried, "budget")
+            result, used = await self._attempt_hedged(ongoing, state, view, tried)
+            tried.excluded.add(used.server_id)
+            if isinstance(result, frames.Answer):
+                if not self._is_failure(ongoing, result):
+                    return result
+                tried.arrivals += 1
+                tried.maybe_ran = True
+                tried.last_failure = result
+            elif isinstance(result, frames.Unknown):
+                tried.arrivals += 1
+                tried.maybe_ran = True
+                if not ongoing.idempotent:
+                    raise errors.UnknownOutcomeError(result.reason)
+            else:
+                self._take_refusal(tried, used, result)
+                if tried.refusals >= _MAX_REFUSALS:
+                    return self._give_up(tried, "no-room")
+
+    @staticmethod
+    def _is_failure(ongoing: call.Call, result: frames.Answer) -> bool:
+        return ongoing.idempotent and result.status >= 500 and result.status != 504
+
+    @staticmethod
+    def _may_repeat(
+        ongoing: call.Call, state: services.ServiceState, tried: _Attempts
+    ) -> bool:
+        if tried.arrivals >= ongoing.max_attempts:
+            return False
+        return state.repeat_budget.take(clock.now())
+
+    def _take_refusal(
+        self, tried: _Attempts, used: server_view.ServerView, result: frames.Refusal
+    ) -> None:
+        tried.refusals += 1
+        if result.reason in _ARRIVED_REASONS:
+            tried.arrivals += 1
+        if result.retry_after_s:
+            known = tried.retry_after_s
+            tried.retry_after_s = (
+                min(known, result.retry_after_s) if known else result.retry_after_s
+            )
+        block_s = _BLOCK_S_BY_REASON.get(result.reason)
+        if block_s is not None:
+            used.blocked_until_s = clock.now() + block_s
+
+    @staticmethod
+    def _give_up(tried: _Attempts, reason: str) -> frames.Answer:
+        if tried.last_failure is not None:
+            return tried.last_failure
+        if tried.maybe_ran:
+            raise errors.UnknownOutcomeError(reason)
+        raise errors.RefusedError(reason, tried.retry_after_s)
+
+    async def _attempt_hedged(
+        self,
+        ongoing: call.Call,
+        state: services.ServiceState,
+        view: server_view.ServerView,
+        tried: _Attempts,
+    ) -> tuple[Result, server_view.ServerView]:
+        """Makes an attempt, and a second one beside it if the first is slow."""
+        if not ongoing.idempotent or tried.arrivals + 1 >= ongoing.max_attempts:
+            return await self._attempt(ongoing, state, view), view
+        loop = asyncio.get_running_loop()
+        view_by_task = {loop.create_task(self._attempt(ongoing, state, view)): view}
+        delay_s = self._hedge_delay_s(ongoing, state, view)
+        try:
+            done, _ = await asyncio.wait(view_by_task, timeout=delay_s)
+            if not done:
+                second = self._second_server(ongoing, state, view, tried)
+                if second is not None:
+                    self._metrics.count("hedges_total", ongoing.service)
+                    tried.arrivals += 1
+                    view_by_task[
+                        loop.create_task(self._attempt(ongoing, state, second))
+                    ] = second
+            return await self._first_good(ongoing, view_by_task, tried)
+        finally:
+            for task in view_by_task:
+                if not task.done():
+                    task.cancel()
+
+    async def _first_good(
+        self,
+        ongoing: call.Call,
+        view_by_task: dict[asyncio.Task[Result], server_view.ServerView],
+        tried: _Attempts,
+    ) -> tuple[Result, server_view.ServerView]:
+        pending = set(view_by_task)
+        while True:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                result = task.result()
+                good = isinstance(result, frames.Answer) and not self._is_failure(
+                    ongoing, result
+                )
+                if good or not pending:
+                    return result, view_by_task[task]
+                tried.excluded.add(view_by_task[task].server_id)
+
+    @staticmethod
+    def _hedge_delay_s(
+        ongoing: call.Call, state: services.ServiceState, view: server_view.ServerView
+    ) -> float:
+        work_s = state.placement.work_s(ongoing.route_name, _DEFAULT_WORK_S)
+        return max(view.distance_s + work_s * _HEDGE_FACTOR, _HEDGE_FLOOR_S)
+
+    @staticmethod
+    def _second_server(
+        ongoing: call.Call,
+        state: services.ServiceState,
+        first: server_view.ServerView,
+        tried: _Attempts,
+    ) -> server_view.ServerView | None:
+        now = clock.now()
+        second = state.placement.choose(
+            now, ongoing.route_name, _DEFAULT_WORK_S, {first.server_id, *tried.excluded}
+        )
+        if second is None or not second.has_room():
+            return None
+        work_s = state.placement.work_s(ongoing.route_name, _DEFAULT_WORK_S)
+        if now + work_s > ongoing.deadline_s or not state.repeat_budget.take(now):
+            return None
+        return second
+
+    async def _attempt(
+        self, ongoing: call.Call, state: services.ServiceState, view: server_view.ServerView
+    ) -> Result:
+        view.observe_sent()
+        started_s = clock.now()
+        result: Result | None = None
+        try:
+            result = await self._send(ongoing, view, started_s)
+        finally:
+            view.observe_ended()
+            ended_s = clock.now()
+            if result is not None:
+                self._learn(ongoing, state, view, result, ended_s)
+                self._log_attempt(ongoing, view, result, ended_s - started_s)
+        return result
+
+    async def _send(
+        self, ongoing: call.Call, view: server_view.ServerView, now: float
+    ) -> Result:
+        entry = self._services.entry_by_server_id.get(view.server_id)
+        frame = frames.Request(
+            call_id=next(self._call_ids),
+            server_id=view.server_id,
+            method=ongoing.method,
+            target=ongoing.target,
+            fields=ongoing.fields,
+            body=ongoing.body,
+            left_s=ongoing.deadline_s - now,
+            aim_left_s=ongoing.aim_s - now,
+            idempotent=ongoing.idempotent,
+            priority=ongoing.priority,
+            nested=ongoing.nested,
+            work_key=ongoing.route_name,
+            may_move=True,
+        )
+        if entry is None:
+            return frames.Refusal(frame.call_id, "no-server", 0.0, self._local.report())
+        if entry.address == self._server_address:
+            found: Result = await self._local.run(frame)
+            return found
+        try:
+            return await self._peers.get(entry.ip).call(frame, ongoing.deadline_s - now)
+        except errors.RefusedError as error:
+            return frames.Refusal(frame.call_id, error.reason, 0.0, self._local.report())
+        except errors.UnknownOutcomeError as error:
+            return frames.Unknown(frame.call_id, error.reason, self._local.report())
+
+    def _learn(
+        self,
+        ongoing: call.Call,
+        state: services.ServiceState,
+        view: server_view.ServerView,
+        result: Result,
+        now: float,
+    ) -> None:
+        if result.load.server_id == view.server_id:
+            self._services.observe_load(result.load)
+        if isinstance(result, frames.Answer):
+            view.observe_result(now=now, failed=result.status >= 500)
+            if result.status < 300:
+                state.placement.observe_work(ongoing.route_name, result.work_s)
+        elif isinstance(result, frames.Unknown) or result.reason in _ARRIVED_REASONS:
+            view.observe_result(now=now, failed=True)
+
+    def _log_attempt(
+        self, ongoing: call.Call, view: server_view.ServerView, result: Result, took_s: float
+    ) -> None:
+        values: dict[str, Any] = {
+            "id": ongoing.request_id,
+            "server": view.server_id,
+            "ms": round(took_s * 1000, 1),
+            "load": [result.load.running, result.load.waiting, result.load.limit],
+            "slowness": result.load.slowness,
+            "slowness_age_s": round(result.load.slowness_age_s, 3),
+        }
+        if isinstance(result, frames.Answer):
+            values["status"] = result.status
+            values["work_ms"] = round(result.work_s * 1000, 1)
+        else:
+            values["refused" if isinstance(result, frames.Refusal) else "unknown"] = result.reason
+        self._log.write("attempt", **values)
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -0,0 +1,241 @@
+"""Routes requests of callers and answers them."""
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from laburnumford_mesh import (
+    call,
+    clock,
+    configuration,
+    dispatcher,
+    errors,
+    event_log,
+    frames,
+    metrics,
+    route,
+    wire_names,
+)
+from laburnumford_mesh.http import answer as answers
+from laburnumford_mesh.http import request
+from laburnumford_node.http import fields
+from laburnumford_policy.placement import weighted_split
+
+_STALE_S = 1.2
+"""With values older than this an unknown route may be one that was just added."""
+
+_TIMEOUT_GRACE_S = 0.05
+"""Lets the answer that a server gives at the deadline arrive."""
+
+_MIN_RETRY_AFTER_S = 0.05
+_REASON_BY_STATUS = {
+    404: b"Not Found",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Edge:
+    """Answers requests of callers.
+
+    Args:
+        service: returns the service of this VM, which servers see as the caller.
+        current: returns the configuration in force.
+        age_s: returns the age of the published values.
+        dispatch: finds servers.
+        names: header field names.
+        log: structured log.
+        counters: metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: Callable[[], str],
+        current: Callable[[], configuration.Configuration | None],
+        age_s: Callable[[], float],
+        dispatch: dispatcher.Dispatcher,
+        names: wire_names.WireNames,
+        log: event_log.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._service = service
+        self._current = current
+        self._age_s = age_s
+        self._dispatcher = dispatch
+        self._names = names
+        self._log = log
+        self._metrics = counters
+        self._split_by_route: dict[tuple[int, str, str], weighted_split.WeightedSplit] = {}
+        self._dropped = frozenset(
+            {names.timeout_ms, names.target_server, names.caller_service, b"expect"}
+        )
+
+    async def handle(self, received: request.Request) -> answers.Answer:
+        """Returns the answer to one request."""
+        request_id = received.value_by_name.get(self._names.request_id, b"").decode("latin-1")
+        current = self._current()
+        if current is None:
+            return self._refuse(request_id, "no-configuration", 0.3)
+        found = current.find(received.host, received.path)
+        if found is None:
+            if self._age_s() > _STALE_S:
+                return self._refuse(request_id, "route-unknown-yet", 0.3)
+            self._log.write("no_route", id=request_id, version=current.version)
+            return self._own_answer(404, "no-route")
+        return await self._dispatch(received, request_id, found, current)
+
+    async def _dispatch(
+        self,
+        received: request.Request,
+        request_id: str,
+        found: route.Route,
+        current: configuration.Configuration,
+    ) -> answers.Answer:
+        ongoing = self._call(received, request_id, found, current)
+        left_s = max(ongoing.deadline_s - clock.now(), 0.0)
+        try:
+            async with asyncio.timeout(left_s + _TIMEOUT_GRACE_S):
+                answered = await self._dispatcher.dispatch(ongoing)
+        except TimeoutError:
+            return self._fail(ongoing, current, 504, "deadline")
+        except errors.RefusedError as error:
+            return self._refuse(request_id, error.reason, error.retry_after_s, ongoing)
+        except errors.UnknownOutcomeError as error:
+            status = 504 if clock.now() >= ongoing.deadline_s else 502
+            return self._fail(ongoing, current, status, error.reason)
+        return self._relay(ongoing, current, answered)
+
+    def _call(
+        self,
+        received: request.Request,
+        request_id: str,
+        found: route.Route,
+        current: configuration.Configuration,
+    ) -> call.Call:
+        waits_s = _timeout_s(received.value_by_name.get(self._names.timeout_ms))
+        left_s = found.timeout_s if waits_s is None else min(waits_s, found.timeout_s)
+        head = fields.forwarded(received.fields, drop=self._dropped)
+        head.append((self._names.caller_service, self._service().encode()))
+        return call.Call(
+            request_id=request_id,
+            service=self._choose_service(found, current),
+            route_name=found.name,
+            method=received.method,
+            target=received.target,
+            fields=head,
+            body=received.body,
+            idempotent=found.idempotent,
+            priority=found.priority,
+            max_attempts=found.max_attempts,
+            arrived_s=received.received_s,
+            aim_s=received.received_s + found.target_latency_s,
+            deadline_s=received.received_s + left_s,
+            nested=False,
+        )
+
+    def _choose_service(self, found: route.Route, current: configuration.Configuration) -> str:
+        if len(found.services) == 1:
+            return found.services[0].name
+        key = (current.version, found.name, found.prefix)
+        split = self._split_by_route.get(key)
+        if split is None:
+            self._split_by_route = {
+                known: value
+                for known, value in self._split_by_route.items()
+                if known[0] == current.version
+            }
+            split = weighted_split.WeightedSplit(
+                [each.name for each in found.services],
+                [each.weight for each in found.services],
+                offset=hash(self._names) % 97,
+            )
+            self._split_by_route[key] = split
+        return split.choose()
+
+    def _relay(
+        self,
+        ongoing: call.Call,
+        current: configuration.Configuration,
+        answered: frames.Answer,
+    ) -> answers.Answer:
+        took_s = clock.now() - ongoing.arrived_s
+        self._metrics.count("answers_total", str(answered.status))
+        self._metrics.record("answer", ongoing.route_name, took_s)
+        self._log.write(
+            "answered",
+            id=ongoing.request_id,
+            route=ongoing.route_name,
+            service=ongoing.service,
+            status=answered.status,
+            ms=round(took_s * 1000, 1),
+            version=current.version,
+        )
+        return answers.Answer(
+            status=answered.status,
+            reason=answered.reason,
+            fields=answered.fields,
+            body=answered.body,
+        )
+
+    def _fail(
+        self,
+        ongoing: call.Call,
+        current: configuration.Configuration,
+        status: int,
+        reason: str,
+    ) -> answers.Answer:
+        self._metrics.count("failures_total", reason)
+        self._log.write(
+            "failed",
+            id=ongoing.request_id,
+            route=ongoing.route_name,
+            service=ongoing.service,
+            status=status,
+            reason=reason,
+            ms=round((clock.now() - ongoing.arrived_s) * 1000, 1),
+            version=current.version,
+        )
+        return self._own_answer(status, reason)
+
+    def _refuse(
+        self,
+        request_id: str,
+        reason: str,
+        retry_after_s: float,
+        ongoing: call.Call | None = None,
+    ) -> answers.Answer:
+        self._metrics.count("refusals_total", reason)
+        wait_s = max(retry_after_s, _MIN_RETRY_AFTER_S)
+        self._log.write(
+            "refused",
+            id=request_id,
+            reason=reason,
+            retry_after_s=round(wait_s, 3),
+            route=None if ongoing is None else ongoing.route_name,
+            service=None if ongoing is None else ongoing.service,
+            values_age_s=round(min(self._age_s(), 1e6), 3),
+        )
+        return self._own_answer(
+            503, reason, [(self._names.retry_after, b"%.3f" % wait_s)]
+        )
+
+    @staticmethod
+    def _own_answer(
+        status: int, reason: str, more: list[fields.Field] | None = None
+    ) -> answers.Answer:
+        body = json.dumps({"status": status, "reason": reason}).encode()
+        return answers.Answer(
+            status=status,
+            reason=_REASON_BY_STATUS[status],
+            fields=[(b"content-type", b"application/problem+json"), *(more or ())],
+            body=body,
+        )
+
+
+def _timeout_s(value: bytes | None) -> float | None:
+    """Returns the time that the caller waits, or None if it does not say."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value) / 1000
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/errors.py
@@ -0,0 +1,41 @@
+"""Errors of the mesh node."""
+
+from laburnumford_objects import errors
+
+
+class MeshError(errors.LaburnumfordError):
+    """Base class of the errors of this package."""
+
+
+class StoreError(MeshError):
+    """The key-value store gave no usable answer."""
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes after the revision that was asked for."""
+
+
+class DecodeError(MeshError):
+    """A published value cannot be used; names the field, the value and what is allowed."""
+
+
+class AttemptError(MeshError):
+    """An attempt to run a request gave no answer.
+
+    Args:
+        reason: short label for logs and metrics.
+        retry_after_s: when the server expects room again, 0 if it does not say.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float = 0.0) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class RefusedError(AttemptError):
+    """The request did not run and never will by this attempt."""
+
+
+class UnknownOutcomeError(AttemptError):
+    """The request may have run."""
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -0,0 +1,255 @@
+"""The stream to one other node and the calls that wait on it."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from laburnumford_mesh import clock, errors, frames, link
+
+_CONNECT_TIMEOUT_S = 0.6
+"""A VM in another zone answers within 3 ms; a lost opening packet is sent again after 1 s."""
+
+_PING_INTERVAL_S = 0.2
+_SILENCE_S = 0.6
+"""A stream without any byte for this long although pings went out is replaced. Streams may
+go silent without a reset while new ones work."""
+
+_IDLE_S = 15.0
+"""Streams that carried no call for this long are closed."""
+
+_RETRY_CONNECT_S = 0.1
+
+Result = frames.Answer | frames.Refusal | frames.Unknown
+
+
+class _Waiting:
+    """One call without an answer."""
+
+    __slots__ = ("frame", "future", "sent_to")
+
+    def __init__(self, frame: frames.Request, future: asyncio.Future[Result]) -> None:
+        self.frame = frame
+        self.future = future
+        self.sent_to: int | None = None
+        """Incarnation of the node that the call was sent to, None before that."""
+
+
+class Peer:
+    """Calls one other node over a stream that is replaced when it breaks.
+
+    A call is sent again on a new stream as long as the same incarnation of the node answers
+    there: that node tells repeated calls by their number and runs each of them once.
+
+    Args:
+        address: ``ip:port`` of the node.
+        incarnation: number of this node's own start.
+        on_values: called with published values that the node sent.
+        on_goodbye: called when the node says that it stops.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        incarnation: int,
+        on_values: Callable[[str, frames.Values], None],
+        on_goodbye: Callable[[str], None],
+    ) -> None:
+        self.address = address
+        self._incarnation = incarnation
+        self._on_values = on_values
+        self._on_goodbye = on_goodbye
+        self._link: link.Link | None = None
+        self._waiting_by_id: dict[int, _Waiting] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._wake = asyncio.Event()
+        self._used_s = clock.now()
+        self._pinged_s = 0.0
+        self._pull_revision: int | None = None
+        self._closed = False
+        self.down_since_s: float | None = None
+        self.incarnation: int | None = None
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether the last try to connect failed."""
+        return self.down_since_s is not None
+
+    async def call(self, frame: frames.Request, timeout_s: float) -> Result:
+        """Sends a request and returns what came of it.
+
+        Raises:
+            RefusedError: the request was never sent.
+            UnknownOutcomeError: the request was sent and no answer came in time.
+        """
+        future: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(frame, future)
+        self._waiting_by_id[frame.call_id] = waiting
+        self._used_s = clock.now()
+        self._transmit(waiting)
+        self._ensure_running()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            self._withdraw(waiting)
+            if waiting.sent_to is None:
+                raise errors.RefusedError("peer-unreachable") from error
+            raise errors.UnknownOutcomeError("peer-timeout") from error
+        except asyncio.CancelledError:
+            self._withdraw(waiting)
+            raise
+        finally:
+            self._waiting_by_id.pop(frame.call_id, None)
+
+    def pull(self, revision: int) -> None:
+        """Asks the node for published values after a revision."""
+        self._used_s = clock.now()
+        if self._link is not None and self._link.peer_incarnation is not None:
+            self._link.send(frames.Pull(revision))
+            return
+        self._pull_revision = revision
+        self._ensure_running()
+
+    async def close(self) -> None:
+        """Ends the stream."""
+        self._closed = True
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._link is not None:
+            self._link.close()
+
+    # internals
+
+    def _ensure_running(self) -> None:
+        if self._closed:
+            return
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+        self._wake.set()
+
+    async def _run(self) -> None:
+        """Keeps a stream while there is use for it."""
+        while self._waiting_by_id or clock.now() - self._used_s < _IDLE_S:
+            if self._link is None and not await self._connect():
+                await asyncio.sleep(_RETRY_CONNECT_S)
+                if not self._waiting_by_id and self._pull_revision is None:
+                    return
+                continue
+            self._check_silence()
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PING_INTERVAL_S if self._waiting_by_id else 1.0):
+                    await self._wake.wait()
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+
+    async def _connect(self) -> bool:
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        hello: asyncio.Future[None] = loop.create_future()
+
+        def take(found: link.Link, frame: Any) -> None:
+            if isinstance(frame, frames.Hello) and found.peer_incarnation is None:
+                found.peer_incarnation = frame.incarnation
+                if frame.stopping:
+                    self._on_goodbye(found.peer_ip)
+                if not hello.done():
+                    hello.set_result(None)
+                return
+            self._take(found, frame)
+
+        connected: link.Link | None = None
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, connected = await loop.create_connection(
+                    lambda: link.Link(
+                        greeting=frames.Hello(self._incarnation, False),
+                        on_frame=take,
+                        on_lost=self._lose,
+                    ),
+                    host,
+                    int(port),
+                )
+                await hello
+        except (OSError, TimeoutError):
+            if connected is not None:
+                connected.abort()
+            if self.down_since_s is None:
+                self.down_since_s = clock.now()
+            self._give_back_unsent()
+            return False
+        except asyncio.CancelledError:
+            if connected is not None:
+                connected.abort()
+            raise
+        self.down_since_s = None
+        self._link = connected
+        self._resume(connected)
+        return True
+
+    def _resume(self, connected: link.Link) -> None:
+        """Sends the waiting calls on a new stream."""
+        incarnation = connected.peer_incarnation
+        self.incarnation = incarnation
+        for waiting in list(self._waiting_by_id.values()):
+            if waiting.sent_to not in (None, incarnation):
+                # The node that had the call is gone; its work may have been done.
+                self._resolve(waiting, errors.UnknownOutcomeError("peer-restarted"))
+            else:
+                self._transmit(waiting)
+        if self._pull_revision is not None:
+            connected.send(frames.Pull(self._pull_revision))
+            self._pull_revision = None
+
+    def _give_back_unsent(self) -> None:
+        for waiting in list(self._waiting_by_id.values()):
+            if waiting.sent_to is None:
+                self._resolve(waiting, errors.RefusedError("peer-unreachable"))
+
+    def _transmit(self, waiting: _Waiting) -> None:
+        if self._link is None or self._link.peer_incarnation is None:
+            return
+        if self._link.send(waiting.frame):
+            waiting.sent_to = self._link.peer_incarnation
+
+    def _withdraw(self, waiting: _Waiting) -> None:
+        if waiting.sent_to is not None and self._link is not None:
+            self._link.send(frames.Cancel(waiting.frame.call_id))
+
+    def _check_silence(self) -> None:
+        current = self._link
+        if current is None or not self._waiting_by_id:
+            return
+        now = clock.now()
+        silent_s = now - current.heard_s
+        if silent_s > _SILENCE_S and now - self._pinged_s < _SILENCE_S:
+            self._link = None
+            current.abort()
+            self._wake.set()
+        elif silent_s > _PING_INTERVAL_S / 2:
+            self._pinged_s = now
+            current.send(frames.Ping())
+
+    def _lose(self, ended: link.Link) -> None:
+        if ended is self._link:
+            self._link = None
+            self._ensure_running()
+
+    def _take(self, found: link.Link, frame: Any) -> None:
+        if isinstance(frame, frames.Answer | frames.Refusal | frames.Unknown):
+            waiting = self._waiting_by_id.get(frame.call_id)
+            if waiting is not None and not waiting.future.done():
+                waiting.future.set_result(frame)
+        elif isinstance(frame, frames.Values):
+            self._on_values(found.peer_ip, frame)
+        elif isinstance(frame, frames.Goodbye):
+            self._on_goodbye(found.peer_ip)
+
+    @staticmethod
+    def _resolve(waiting: _Waiting, error: errors.AttemptError) -> None:
+        if not waiting.future.done():
+            waiting.future.set_exception(error)
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/peers.py
@@ -0,0 +1,86 @@
+"""The other nodes, by the address of their VM."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from laburnumford_mesh import clock, frames, peer
+
+_HEARD_S = 5.0
+"""A node that sent a datagram this recently exists, though no entry names its VM."""
+
+
+class Peers:
+    """Opens streams to other nodes on demand.
+
+    Args:
+        own_ip: address of this VM.
+        port: port of the nodes.
+        incarnation: number of this start of the node.
+        generator: source of random numbers.
+        on_values: called with published values that a node sent.
+        on_goodbye: called with the address of a node that stops.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_ip: str,
+        port: int,
+        incarnation: int,
+        generator: random.Random,
+        on_values: Callable[[str, frames.Values], None],
+        on_goodbye: Callable[[str], None],
+    ) -> None:
+        self._own_ip = own_ip
+        self._port = port
+        self._incarnation = incarnation
+        self._generator = generator
+        self._on_values = on_values
+        self._on_goodbye = on_goodbye
+        self._peer_by_ip: dict[str, peer.Peer] = {}
+        self._listed_ips: tuple[str, ...] = ()
+        self._heard_s_by_ip: dict[str, float] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of nodes that the entries name, this one not counted."""
+        return len(self._listed_ips)
+
+    def apply(self, ips: Iterable[str]) -> None:
+        """Takes over the addresses of all VMs with a backend server."""
+        self._listed_ips = tuple(sorted(set(ips) - {self._own_ip}))
+
+    def observe_heard(self, ip: str) -> None:
+        """Remembers that a node sent something."""
+        if ip != self._own_ip:
+            self._heard_s_by_ip[ip] = clock.now()
+
+    def get(self, ip: str) -> peer.Peer:
+        """Returns the peer at an address."""
+        found = self._peer_by_ip.get(ip)
+        if found is None:
+            found = peer.Peer(
+                address=f"{ip}:{self._port}",
+                incarnation=self._incarnation,
+                on_values=self._on_values,
+                on_goodbye=self._on_goodbye,
+            )
+            self._peer_by_ip[ip] = found
+        return found
+
+    def sample(self, count: int) -> list[str]:
+        """Returns some random addresses of other nodes."""
+        now = clock.now()
+        known = set(self._listed_ips)
+        for ip, heard_s in list(self._heard_s_by_ip.items()):
+            if now - heard_s > _HEARD_S:
+                del self._heard_s_by_ip[ip]
+            else:
+                known.add(ip)
+        ordered = sorted(known)
+        return self._generator.sample(ordered, min(count, len(ordered)))
+
+    async def close(self) -> None:
+        """Ends all streams."""
+        await asyncio.gather(*(each.close() for each in self._peer_by_ip.values()))
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/record_set.py
@@ -0,0 +1,84 @@
+"""The published values that a node knows, in the order in which the store changed them."""
+
+import collections
+from collections.abc import Iterable
+
+from laburnumford_mesh import record
+
+_MAX_REMOVALS = 4096
+"""Removals remembered for peers that are behind; a peer further behind gets everything."""
+
+
+class RecordSet:
+    """Keeps the newest record of each key and never goes back to an older one."""
+
+    def __init__(self) -> None:
+        self._record_by_key: dict[str, record.Record] = {}
+        self._removal_by_key: collections.OrderedDict[str, record.Record] = (
+            collections.OrderedDict()
+        )
+        self._forgotten_revision = 0
+        self.revision = 0
+
+    def live(self) -> list[record.Record]:
+        """Returns the records that have a value."""
+        return list(self._record_by_key.values())
+
+    def apply_changes(
+        self, changes: Iterable[record.Record], revision: int
+    ) -> list[record.Record]:
+        """Takes over changes that complete the set up to `revision`.
+
+        Returns:
+            The records that were new to this set.
+        """
+        applied = [change for change in changes if self._apply(change)]
+        self.revision = max(self.revision, revision)
+        return applied
+
+    def apply_snapshot(
+        self, records: Iterable[record.Record], revision: int
+    ) -> list[record.Record]:
+        """Takes over everything that the store held at `revision`.
+
+        A key that is missing from the snapshot was removed at `revision` or before.
+
+        Returns:
+            The records that were new to this set, removals included.
+        """
+        found = list(records)
+        keys = {each.key for each in found}
+        applied = [each for each in found if self._apply(each)]
+        for known in self.live():
+            if known.key not in keys and known.revision <= revision:
+                removal = record.Record(known.key, revision, None)
+                self._apply(removal)
+                applied.append(removal)
+        # Removals before the snapshot that this set never saw are unknown to it.
+        self._forgotten_revision = max(self._forgotten_revision, self.revision)
+        self.revision = max(self.revision, revision)
+        return applied
+
+    def changes_since(self, revision: int) -> tuple[list[record.Record], bool]:
+        """Returns what a peer at `revision` lacks, and whether it is everything there is."""
+        if revision < self._forgotten_revision:
+            return self.live(), True
+        changed = [each for each in self._record_by_key.values() if each.revision > revision]
+        changed += [each for each in self._removal_by_key.values() if each.revision > revision]
+        return changed, False
+
+    def _apply(self, change: record.Record) -> bool:
+        known = self._record_by_key.get(change.key) or self._removal_by_key.get(change.key)
+        if known is not None and known.revision >= change.revision:
+            return False
+        if change.value is not None:
+            self._removal_by_key.pop(change.key, None)
+            self._record_by_key[change.key] = change
+            return True
+        self._record_by_key.pop(change.key, None)
+        self._removal_by_key[change.key] = change
+        self._removal_by_key.move_to_end(change.key)
+        if len(self._removal_by_key) > _MAX_REMOVALS:
+            _, forgotten = self._removal_by_key.popitem(last=False)
+            self._forgotten_revision = max(self._forgotten_revision, forgotten.revision)
+        return known is not None
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -0,0 +1,82 @@
+"""Order of the requests that wait for a server's slots.
+
+Answers the load pattern of a burst on one service: first come, first served makes every
+request of the burst late. Requests that can still be answered in time go first; requests
+that a running request waits for go before new work, since that one holds a slot elsewhere;
+what can no longer be answered before its deadline is given up at once.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingRequest:
+    """One request that waits.
+
+    Attributes:
+        entry_id: number that the owner gave it.
+        nested: whether a running request waits for it.
+        priority: rank, 0 is the highest.
+        aim_s: time until which an answer has its full worth.
+        deadline_s: time until which an answer has any worth.
+        work_key: kind of work.
+    """
+
+    entry_id: int
+    nested: bool
+    priority: int
+    aim_s: float
+    deadline_s: float
+    work_key: str
+
+
+class WorkQueue:
+    """Keeps the waiting requests of one server.
+
+    Args:
+        work_s: returns the expected time of a kind of work that starts now.
+    """
+
+    def __init__(self, *, work_s: Callable[[str], float]) -> None:
+        self._work_s = work_s
+        self._waiting_by_id: dict[int, WaitingRequest] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_id)
+
+    def add(self, entry: WaitingRequest) -> None:
+        """Adds a request."""
+        self._waiting_by_id[entry.entry_id] = entry
+
+    def remove(self, entry_id: int) -> bool:
+        """Removes a request; returns whether it was there."""
+        return self._waiting_by_id.pop(entry_id, None) is not None
+
+    def ahead_of(self, entry: WaitingRequest) -> int:
+        """Returns how many waiting requests would go before this one."""
+        rank = self._rank(entry, 0.0)
+        return sum(self._rank(other, 0.0) <= rank for other in self._waiting_by_id.values())
+
+    def pop_hopeless(self, now: float) -> list[WaitingRequest]:
+        """Removes and returns the requests that cannot be answered before their deadline."""
+        hopeless = [
+            entry
+            for entry in self._waiting_by_id.values()
+            if now + self._work_s(entry.work_key) > entry.deadline_s
+        ]
+        for entry in hopeless:
+            del self._waiting_by_id[entry.entry_id]
+        return hopeless
+
+    def pop_next(self, now: float) -> WaitingRequest | None:
+        """Removes and returns the request to run next."""
+        if not self._waiting_by_id:
+            return None
+        best = min(self._waiting_by_id.values(), key=lambda entry: self._rank(entry, now))
+        del self._waiting_by_id[best.entry_id]
+        return best
+
+    def _rank(self, entry: WaitingRequest, now: float) -> tuple[bool, bool, int, float]:
+        late = now > 0 and now + self._work_s(entry.work_key) > entry.aim_s
+        return (not entry.nested, late, entry.priority, entry.deadline_s if late else entry.aim_s)
