Start work only at a known speed, and keep bytes inside the zone

Cause: the time of a run is settled by the server's speed at its start (runs that start slow take five times as long, runs that only end slow do not); and 39 MB crossed zones. Change: the node beside a server samples its speed before work starts and holds work through a slow spell; placement charges for bytes to other zones.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -35,6 +35,9 @@
 _ARRIVED_REASONS = frozenset({"server-refused", "other-server"})
 """Refusals by a server itself: the request reached it, which counts as an arrival."""
 
+_SLOW_REASON = "slow"
+"""The server is in a slow spell that this node did not know of; it may still be the best."""
+
 _BLOCK_S_BY_REASON = {
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
     "leaving": _LEAVING_BLOCK_S,
@@ -104,14 +107,15 @@
             if ongoing.deadline_s - now < _MIN_LEFT_S:
                 return self._give_up(tried, "deadline")
             view = state.placement.choose(
-                now, ongoing.route_name, _DEFAULT_WORK_S, tried.excluded
+                now, ongoing.route_name, _DEFAULT_WORK_S, len(ongoing.body), tried.excluded
             )
             if view is None:
                 return self._give_up(tried, "no-server" if not tried.excluded else "no-room")
             if tried.arrivals and not self._may_repeat(ongoing, state, tried):
                 return self._give_up(tried, "budget")
             result, used = await self._attempt_hedged(ongoing, state, view, tried)
-            tried.excluded.add(used.server_id)
+            if not (isinstance(result, frames.Refusal) and result.reason == _SLOW_REASON):
+                tried.excluded.add(used.server_id)
             if isinstance(result, frames.Answer):
                 if not self._is_failure(ongoing, result):
                     return result
@@ -226,7 +230,11 @@
     ) -> server_view.ServerView | None:
         now = clock.now()
         second = state.placement.choose(
-            now, ongoing.route_name, _DEFAULT_WORK_S, {first.server_id, *tried.excluded}
+            now,
+            ongoing.route_name,
+            _DEFAULT_WORK_S,
+            len(ongoing.body),
+            {first.server_id, *tried.excluded},
         )
         if second is None or not second.has_room():
             return None
@@ -268,7 +276,7 @@
             priority=ongoing.priority,
             nested=ongoing.nested,
             work_key=ongoing.route_name,
-            may_move=True,
+            expects_slow=view.looks_slow(now),
         )
         if entry is None:
             return frames.Refusal(frame.call_id, "no-server", 0.0, self._local.report())
@@ -295,7 +303,9 @@
         if isinstance(result, frames.Answer):
             view.observe_result(now=now, failed=result.status >= 500)
             if result.status < 300:
-                state.placement.observe_work(ongoing.route_name, result.work_s)
+                state.placement.observe_work(
+                    ongoing.route_name, result.work_s, len(result.body)
+                )
         elif isinstance(result, frames.Unknown) or result.reason in _ARRIVED_REASONS:
             view.observe_result(now=now, failed=True)
 
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -23,6 +23,7 @@
         limit: requests that the node lets run at the same time.
         slowness: how long work takes now, 1.0 is as usual.
         slowness_age_s: seconds since the server said so.
+        slow_for_s: seconds since it was last seen undisturbed, 0 if it is.
     """
 
     server_id: str
@@ -32,6 +33,7 @@
     limit: int
     slowness: float
     slowness_age_s: float
+    slow_for_s: float
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=0):
@@ -62,7 +64,8 @@
         priority: rank, 0 is the highest.
         nested: whether a running request waits for it.
         work_key: route, by which service times are told apart.
-        may_move: whether the sender has another server to turn to.
+        expects_slow: whether the sender knows that the server may be in a slow spell. If it
+            does not, it is told first and may choose another server.
     """
 
     call_id: int
@@ -77,7 +80,7 @@
     priority: int
     nested: bool
     work_key: str
-    may_move: bool
+    expects_slow: bool
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -11,7 +11,7 @@
 from laburnumford_mesh.http import server_connection
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
-from laburnumford_policy.placement import work_queue
+from laburnumford_policy.placement import start_policy, work_queue
 
 _CONNECT_TIMEOUT_S = 0.5
 _ANY_IDLE_S = math.inf
@@ -22,7 +22,16 @@
 
 _WORK_WEIGHT = 0.1
 _DEFAULT_WORK_S = 0.05
-_SLOWNESS_MEMORY_S = 0.15
+_SAMPLE_S = 0.03
+"""A speed older than this is asked for again before work starts. Speeds change about every
+150 ms."""
+
+_PROBE_TIMEOUT_S = 0.05
+"""Probes are answered in 6 ms. Without an answer work starts on the last known speed."""
+
+_PROBE_PAUSE_S = 0.02
+"""Bounds the probes to 50 a second; the platform allows 60."""
+
 _DOWN_S = 0.3
 """After a refused connection the server is taken to be down for this long."""
 
@@ -63,13 +72,17 @@
         self._work_s_by_key: dict[str, float] = {}
         self._slowness = 1.0
         self._slowness_at_s = -math.inf
-        self._mean_slowness = 1.0
+        self._undisturbed_s = clock.now()
+        self._health_path = ""
+        self._probe: asyncio.Task[None] | None = None
+        self._probed_s = -math.inf
         self._down_until_s = -math.inf
         self.server_id = ""
         self.slots = 1
         self.running = 0
         self.leaving = False
         self.runs_count = 0
+        self.probes_count = 0
 
     @property
     def waiting(self) -> int:
@@ -86,9 +99,10 @@
         """Requests that run at the same time."""
         return self.slots
 
-    def apply(self, *, server_id: str, slots: int) -> None:
-        """Takes over the server's entry."""
+    def apply(self, *, server_id: str, slots: int, health_path: str) -> None:
+        """Takes over the server's entry and the health path of its service."""
         self.server_id = server_id
+        self._health_path = health_path
         self.slots = max(slots, 1)
         self._start_waiting()
 
@@ -103,6 +117,7 @@
             self.limit,
             self._slowness,
             min(now - self._slowness_at_s, 3600.0),
+            self._speed().slow_for_s,
         )
 
     async def run(self, request: frames.Request) -> Any:
@@ -130,7 +145,7 @@
     def sweep(self) -> None:
         """Drops connections and waiting requests whose time has passed."""
         self._pool.sweep()
-        self._drop_hopeless()
+        self._start_waiting()
 
     def close(self) -> None:
         """Ends all exchanges."""
@@ -148,8 +163,12 @@
         if started_s < self._down_until_s:
             raise errors.RefusedError("server-down")
         work_s = self._expected_work_s(request.work_key)
-        if started_s + work_s / max(self._slowness_now(), 1.0) > deadline_s:
+        if started_s + work_s > deadline_s:
             raise errors.RefusedError("deadline")
+        speed = self._speed()
+        known = started_s - self._slowness_at_s < _SAMPLE_S
+        if known and speed.slow and not request.expects_slow and not request.nested:
+            raise errors.RefusedError("slow")
         entry = work_queue.WaitingRequest(
             entry_id=next(self._entry_ids),
             nested=request.nested,
@@ -158,15 +177,13 @@
             deadline_s=deadline_s,
             work_key=request.work_key,
         )
-        if self.running < self.limit and not len(self._queue):
-            self.running += 1
-            return
-        rounds = (self._queue.ahead_of(entry) + 1) / self.limit
-        if started_s + work_s * (rounds + 1) > deadline_s:
-            raise errors.RefusedError("overloaded", work_s * rounds)
+        ahead = self.running + self._queue.ahead_of(entry) - self.limit + 1
+        if ahead > 0 and started_s + work_s * (1 + ahead / self.limit) > deadline_s:
+            raise errors.RefusedError("overloaded", work_s * ahead / self.limit)
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._grant_by_id[entry.entry_id] = granted
         self._queue.add(entry)
+        self._start_waiting()
         try:
             await granted
         except asyncio.CancelledError:
@@ -180,6 +197,7 @@
     async def _exchange(self, request: frames.Request, deadline_s: float) -> Any:
         connection: server_connection.ServerConnection | None = None
         sent_s = clock.now()
+        slowness = self._slowness
         try:
             max_idle_s = _ANY_IDLE_S if request.idempotent else _UNREPEATABLE_IDLE_S
             try:
@@ -199,7 +217,7 @@
                     fields.get(request.fields, self._names.request_id),
                 )
             self.runs_count += 1
-            return self._judge(request, answer, clock.now() - sent_s)
+            return self._judge(request, answer, clock.now() - sent_s, slowness)
         except TimeoutError:
             self._close(connection)
             return frames.Unknown(request.call_id, "server-timeout", self.report())
@@ -235,7 +253,13 @@
             + request.body
         )
 
-    def _judge(self, request: frames.Request, answer: answers.Answer, work_s: float) -> Any:
+    def _judge(
+        self,
+        request: frames.Request,
+        answer: answers.Answer,
+        work_s: float,
+        slowness: float,
+    ) -> Any:
         value_by_name = dict(answer.fields)
         self._observe_load(value_by_name.get(self._names.load))
         if answer.status == 421 or self._names.not_run in value_by_name:
@@ -244,7 +268,7 @@
         if answer.status < 300 and self._names.signature not in value_by_name:
             return frames.Unknown(request.call_id, "answer-unsigned", self.report())
         if answer.status < 300:
-            self._observe_work(request.work_key, work_s)
+            self._observe_work(request.work_key, work_s / max(slowness, 1.0))
         head = fields.forwarded(list(answer.fields))
         return frames.Answer(
             request.call_id,
@@ -263,7 +287,8 @@
         changed = abs(load.slowness - self._slowness) > 0.3 * self._slowness
         self._slowness = load.slowness
         self._slowness_at_s = clock.now()
-        self._mean_slowness += 0.02 * (load.slowness - self._mean_slowness)
+        if load.slowness <= start_policy.SLOW_FACTOR:
+            self._undisturbed_s = self._slowness_at_s
         self.slots = load.slots
         if changed:
             self._on_load_change()
@@ -275,25 +300,78 @@
     def _expected_work_s(self, work_key: str) -> float:
         return self._work_s_by_key.get(work_key, _DEFAULT_WORK_S)
 
-    def _slowness_now(self) -> float:
-        age_s = clock.now() - self._slowness_at_s
-        weight = math.exp(-age_s / _SLOWNESS_MEMORY_S)
-        return self._mean_slowness + (self._slowness - self._mean_slowness) * weight
+    def _speed(self) -> start_policy.Speed:
+        slow = self._slowness > start_policy.SLOW_FACTOR
+        slow_for_s = self._slowness_at_s - self._undisturbed_s if slow else 0.0
+        return start_policy.Speed(slowness=self._slowness, slow_for_s=max(slow_for_s, 0.0))
 
     def _end_run(self) -> None:
         self.running -= 1
         self._start_waiting()
 
     def _start_waiting(self) -> None:
+        """Starts what waits, as far as slots and the server's speed allow it."""
         self._drop_hopeless()
+        if not len(self._queue) or self.running >= self.limit:
+            return
+        now = clock.now()
+        if now - self._slowness_at_s > _SAMPLE_S and self._start_probe(now):
+            return
+        held: list[work_queue.WaitingRequest] = []
+        speed = self._speed()
         while self.running < self.limit:
-            entry = self._queue.pop_next(clock.now())
+            entry = self._queue.pop_next(now)
             if entry is None:
-                return
-            granted = self._grant_by_id.get(entry.entry_id)
-            if granted is not None and not granted.done():
-                self.running += 1
-                granted.set_result(None)
+                break
+            if start_policy.starts_now(
+                speed=speed,
+                work_s=self._expected_work_s(entry.work_key),
+                left_s=entry.deadline_s - now,
+            ):
+                self._grant(entry)
+            else:
+                held.append(entry)
+        for entry in held:
+            self._queue.add(entry)
+
+    def _grant(self, entry: work_queue.WaitingRequest) -> None:
+        granted = self._grant_by_id.get(entry.entry_id)
+        if granted is not None and not granted.done():
+            self.running += 1
+            granted.set_result(None)
+
+    def _start_probe(self, now: float) -> bool:
+        """Asks the server for its speed; returns whether an answer is to be expected."""
+        if not self._health_path:
+            return False
+        if self._probe is not None:
+            return True
+        if now - self._probed_s < _PROBE_PAUSE_S:
+            return False
+        self._probed_s = now
+        self.probes_count += 1
+        self._probe = asyncio.get_running_loop().create_task(self._ask_speed())
+        return True
+
+    async def _ask_speed(self) -> None:
+        connection: server_connection.ServerConnection | None = None
+        encoded = fields.encode(
+            b"GET %b HTTP/1.1" % self._health_path.encode(),
+            [(b"host", self._address.encode())],
+        )
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                connection = await self._pool.acquire(_ANY_IDLE_S)
+                answer = await connection.send(b"GET", encoded)
+            self._observe_load(fields.get(answer.fields, self._names.load))
+        except (TimeoutError, http_errors.HttpError) as error:
+            self._log.write("probe_failed", server=self.server_id, error=str(error))
+            self._close(connection)
+        finally:
+            self._probe = None
+            if connection is not None:
+                self._pool.release(connection)
+        self._start_waiting()
 
     def _drop_hopeless(self) -> None:
         for entry in self._queue.pop_hopeless(clock.now()):
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -45,7 +45,7 @@
 """Peers told at once of a change. Each of them tells as many, so that n nodes know after
 about log4(n) steps."""
 
-_SWEEP_INTERVAL_S = 0.05
+_SWEEP_INTERVAL_S = 0.025
 _REPORT_INTERVAL_S = 0.03
 _CALLER_MEMORY_S = 2.0
 """Nodes that called the server beside this node this recently get its load reports."""
@@ -250,6 +250,7 @@
                 "server_running": self._local.running,
                 "server_waiting": self._local.waiting,
                 "server_runs_total": self._local.runs_count,
+                "server_probes_total": self._local.probes_count,
                 "server_connections_opened_total": self._local.connections_opened,
                 "reader": float(self._reader),
             }
@@ -274,7 +275,13 @@
         entries = self._directory.servers()
         own = self._own_entry(entries)
         if own is not None:
-            self._local.apply(server_id=own.server_id, slots=own.slots)
+            current = self._directory.configuration
+            paths = {} if current is None else current.health_path_by_service
+            self._local.apply(
+                server_id=own.server_id,
+                slots=own.slots,
+                health_path=paths.get(own.service, ""),
+            )
         self._peers.apply(entry.ip for entry in entries)
         self._services.apply(entries, nodes=self._peers.count + 1)
         self._reader = self._rank(entries) < _READERS
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -103,6 +103,7 @@
                 limit=report.limit,
                 slowness=report.slowness,
                 slowness_age_s=report.slowness_age_s,
+                slow_for_s=report.slow_for_s,
             )
 
     def block(self, ip: str, seconds: float) -> None:
@@ -134,7 +135,10 @@
         elif entry.zone == self._zone:
             distance_s = _OWN_ZONE_DISTANCE_S
         view = server_view.ServerView(
-            server_id=entry.server_id, distance_s=distance_s, slots=entry.slots
+            server_id=entry.server_id,
+            distance_s=distance_s,
+            other_zone=entry.zone != self._zone,
+            slots=entry.slots,
         )
         view.cold_until_s = clock.now() + entry.cold_s
         return view
--- a/packages/policy/src/laburnumford_policy/placement/placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/placement.py
@@ -17,6 +17,12 @@
 """Spreads the nodes over servers that look alike, so that they do not all take the same one."""
 
 _WORK_WEIGHT = 0.05
+_ZONE_COST_S_PER_KB = 0.015
+"""Bytes between availability zones are paid for. A request goes to another zone if it is
+answered earlier by this much for each kilobyte."""
+
+_MAX_ZONE_COST_S = 0.3
+"""No amount of bytes justifies a longer wait than this."""
 
 
 class Placement:
@@ -29,6 +35,7 @@
     def __init__(self, *, generator: random.Random) -> None:
         self._generator = generator
         self._work_s_by_key: dict[str, float] = {}
+        self._answer_bytes_by_key: dict[str, float] = {}
         self.views_by_id: dict[str, server_view.ServerView] = {}
 
     def apply(self, views: Iterable[server_view.ServerView]) -> None:
@@ -37,8 +44,10 @@
             view.server_id: self.views_by_id.get(view.server_id, view) for view in views
         }
 
-    def observe_work(self, work_key: str, work_s: float) -> None:
-        """Learns how long the work of a kind takes."""
+    def observe_work(self, work_key: str, work_s: float, answer_bytes: int) -> None:
+        """Learns how long the work of a kind takes and how large its answers are."""
+        size = self._answer_bytes_by_key.get(work_key, answer_bytes)
+        self._answer_bytes_by_key[work_key] = size + _WORK_WEIGHT * (answer_bytes - size)
         known = self._work_s_by_key.get(work_key)
         if known is None:
             self._work_s_by_key[work_key] = work_s
@@ -50,9 +59,16 @@
         return self._work_s_by_key.get(work_key, default_s)
 
     def choose(
-        self, now: float, work_key: str, default_work_s: float, excluded: Collection[str] = ()
+        self,
+        now: float,
+        work_key: str,
+        default_work_s: float,
+        body_bytes: int,
+        excluded: Collection[str] = (),
     ) -> server_view.ServerView | None:
-        """Returns the server with the least expected time, or None without any."""
+        """Returns the server with the least expected time and cost, or None without any."""
+        kilobytes = (body_bytes + self._answer_bytes_by_key.get(work_key, 0.0)) / 1000.0
+        zone_cost_s = min(kilobytes * _ZONE_COST_S_PER_KB, _MAX_ZONE_COST_S)
         work_s = self.work_s(work_key, default_work_s)
         best: server_view.ServerView | None = None
         best_s = 0.0
@@ -61,6 +77,8 @@
                 continue
             expected_s = view.expected_s(now, work_s, _COLD_FACTOR)
             expected_s *= 1.0 + _JITTER * self._generator.random()
+            if view.other_zone:
+                expected_s += zone_cost_s
             if best is None or expected_s < best_s:
                 best, best_s = view, expected_s
         return best
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -2,6 +2,8 @@
 
 import math
 
+from laburnumford_policy.placement import start_policy
+
 _SLOWNESS_MEMORY_S = 0.15
 """How long a reported slowness says more than the long-term mean. Neighbours on shared
 machines change within some hundred milliseconds."""
@@ -20,12 +22,16 @@
     Args:
         server_id: the server.
         distance_s: time for the way there and back.
+        other_zone: whether it is in another availability zone.
         slots: requests that the server runs at the same time.
     """
 
-    def __init__(self, *, server_id: str, distance_s: float, slots: int) -> None:
+    def __init__(
+        self, *, server_id: str, distance_s: float, other_zone: bool, slots: int
+    ) -> None:
         self.server_id = server_id
         self.distance_s = distance_s
+        self.other_zone = other_zone
         self.slots = slots
         self.cold_until_s = 0.0
         self.blocked_until_s = 0.0
@@ -36,6 +42,7 @@
         self._sent_since = 0
         self._slowness = 1.0
         self._slowness_at_s = -math.inf
+        self._slow_for_s = 0.0
         self._mean_slowness = 1.0
         self._failure_share = 0.0
         self._failure_at_s = 0.0
@@ -59,6 +66,7 @@
         limit: int,
         slowness: float,
         slowness_age_s: float,
+        slow_for_s: float,
     ) -> None:
         """Takes a load report; one that was overtaken by a newer one has no effect."""
         if sequence < self._sequence:
@@ -70,6 +78,7 @@
         at_s = now - slowness_age_s
         if at_s > self._slowness_at_s:
             self._slowness = slowness
+            self._slow_for_s = slow_for_s
             self._slowness_at_s = at_s
             self._mean_slowness += _MEAN_WEIGHT * (slowness - self._mean_slowness)
 
@@ -88,11 +97,9 @@
         age_s = max(now - self._failure_at_s, 0.0)
         return self._failure_share * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
 
-    def slowness(self, now: float) -> float:
-        """Returns the expected slowness of work that starts now."""
-        age_s = max(now - self._slowness_at_s, 0.0)
-        weight = math.exp(-age_s / _SLOWNESS_MEMORY_S)
-        return self._mean_slowness + (self._slowness - self._mean_slowness) * weight
+    def looks_slow(self, now: float) -> bool:
+        """Returns whether the server is believed to be in a slow spell."""
+        return self._speed(now).slow
 
     def expected_s(self, now: float, work_s: float, cold_factor: float) -> float:
         """Returns the expected time until the answer of a request sent now.
@@ -102,13 +109,19 @@
             work_s: time that the work takes on an undisturbed server.
             cold_factor: how much slower a server is that has just started.
         """
-        slow = self.slowness(now)
+        start_s = start_policy.expected_end_s(self._speed(now), work_s)
         if now < self.cold_until_s:
-            slow *= cold_factor
+            start_s *= cold_factor
         ahead = max(self._load + self._sent_since, self.outstanding) + 1 - self._limit
-        rounds = 1.0 + max(ahead, 0) / self._limit
+        rounds = max(ahead, 0) / self._limit
         failing = min(self.failure_share(now), _MAX_FAILURE_SHARE)
-        return (self.distance_s + work_s * slow * rounds) / (1.0 - failing) ** 2
+        return (self.distance_s + start_s + work_s * rounds) / (1.0 - failing) ** 2
+
+    def _speed(self, now: float) -> start_policy.Speed:
+        age_s = max(now - self._slowness_at_s, 0.0)
+        weight = math.exp(-age_s / _SLOWNESS_MEMORY_S)
+        slowness = self._mean_slowness + (self._slowness - self._mean_slowness) * weight
+        return start_policy.Speed(slowness=slowness, slow_for_s=self._slow_for_s)
 
     def has_room(self) -> bool:
         """Returns whether a request sent now would probably start at once."""
