--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := objects policy fleet node client testkit
+PACKAGES := objects policy fleet node mesh client testkit
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 BENCH ?= path
 WORKERS ?= 4
@@ -23,7 +23,7 @@
 lint: env
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform
 
 test: lint
 	$(BIN)/python -m pytest -q -n $(WORKERS)
--- a/packages/mesh/src/laburnumford_mesh/configuration.py
+++ b/packages/mesh/src/laburnumford_mesh/configuration.py
@@ -31,9 +31,7 @@
         self.health_path_by_service = dict(health_path_by_service)
         self.connections_by_service = dict(connections_by_service)
         self.limits = limits
-        self._route_by_host_and_prefix = {
-            (each.host, each.prefix): each for each in self.routes
-        }
+        self._route_by_host_and_prefix = {(each.host, each.prefix): each for each in self.routes}
 
     def find(self, host: str, path: str) -> route.Route | None:
         """Returns the route with the longest prefix of `path` among those of `host`.
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -137,9 +137,7 @@
         return ongoing.idempotent and result.status >= 500 and result.status != 504
 
     @staticmethod
-    def _may_repeat(
-        ongoing: call.Call, state: services.ServiceState, tried: _Attempts
-    ) -> bool:
+    def _may_repeat(ongoing: call.Call, state: services.ServiceState, tried: _Attempts) -> bool:
         if tried.arrivals >= ongoing.max_attempts:
             return False
         return state.repeat_budget.take(clock.now())
@@ -187,9 +185,7 @@
                 if second is not None:
                     self._metrics.count("hedges_total", ongoing.service)
                     tried.arrivals += 1
-                    view_by_task[
-                        loop.create_task(self._attempt(ongoing, state, second))
-                    ] = second
+                    view_by_task[loop.create_task(self._attempt(ongoing, state, second))] = second
             return await self._first_good(ongoing, view_by_task, tried)
         finally:
             for task in view_by_task:
@@ -207,9 +203,7 @@
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 result = task.result()
-                good = isinstance(result, frames.Answer) and not self._is_failure(
-                    ongoing, result
-                )
+                good = isinstance(result, frames.Answer) and not self._is_failure(ongoing, result)
                 if good or not pending:
                     return result, view_by_task[task]
                 tried.excluded.add(view_by_task[task].server_id)
@@ -259,9 +253,7 @@
                 self._log_attempt(ongoing, view, result, ended_s - started_s)
         return result
 
-    async def _send(
-        self, ongoing: call.Call, view: server_view.ServerView, now: float
-    ) -> Result:
+    async def _send(self, ongoing: call.Call, view: server_view.ServerView, now: float) -> Result:
         entry = self._services.entry_by_server_id.get(view.server_id)
         frame = frames.Request(
             call_id=next(self._call_ids),
@@ -303,9 +295,7 @@
         if isinstance(result, frames.Answer):
             view.observe_result(now=now, failed=result.status >= 500)
             if result.status < 300:
-                state.placement.observe_work(
-                    ongoing.route_name, result.work_s, len(result.body)
-                )
+                state.placement.observe_work(ongoing.route_name, result.work_s, len(result.body))
         elif isinstance(result, frames.Unknown) or result.reason in _ARRIVED_REASONS:
             view.observe_result(now=now, failed=True)
 
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -217,9 +217,7 @@
             service=None if ongoing is None else ongoing.service,
             values_age_s=round(min(self._age_s(), 1e6), 3),
         )
-        return self._own_answer(
-            503, reason, [(self._names.retry_after, b"%.3f" % wait_s)]
-        )
+        return self._own_answer(503, reason, [(self._names.retry_after, b"%.3f" % wait_s)])
 
     @staticmethod
     def _own_answer(
--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -242,9 +242,7 @@
         connect_timeout_s: limit for opening a connection.
     """
 
-    def __init__(
-        self, *, address: str, id_field: bytes | None, connect_timeout_s: float
-    ) -> None:
+    def __init__(self, *, address: str, id_field: bytes | None, connect_timeout_s: float) -> None:
         self._address = address
         self._id_field = id_field
         self._connect_timeout_s = connect_timeout_s
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
@@ -0,0 +1,156 @@
+"""Tests of connections of callers."""
+
+import asyncio
+
+import pytest
+
+
+def get(path, *more):
+    lines = [f"GET {path} HTTP/1.1", "Host: h", *more, "", ""]
+    return "\r\n".join(lines).encode()
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_pipelined_requests_run_side_by_side_and_answer_in_order(edge):
+    """Guards against a slow request that holds up the start of those behind it."""
+    first = edge.gate("/1")
+    caller = await edge.caller()
+    caller.send(get("/1") + get("/2") + get("/3"))
+    await until(lambda: len(edge.requests) == 3)
+    first.set()
+    assert [(await caller.answer())[2] for _ in range(3)] == [b"/1", b"/2", b"/3"]
+
+
+async def test_chunked_body_is_whole(edge):
+    """Guards against bodies that lose their chunk borders' neighbours."""
+    caller = await edge.caller()
+    caller.send(
+        b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    await caller.answer()
+    assert edge.requests[0].body == b"abcde"
+
+
+async def test_caller_that_leaves_cancels_its_requests(edge):
+    """Guards against work for callers that have gone away."""
+    edge.gate("/1")
+    caller = await edge.caller()
+    caller.send(get("/1"))
+    await until(lambda: edge.requests)
+    caller.writer.close()
+    await until(lambda: edge.cancelled == ["/1"])
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (b"GET / HTTP/2.0\r\nHost: a\r\n\r\n", 505),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 3000 + b"\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 501),
+    ],
+)
+async def test_ambiguous_and_oversized_requests_are_rejected(edge, request_bytes, status):
+    """Guards against a request smuggled inside another one, and against unbounded memory."""
+    caller = await edge.caller()
+    caller.send(request_bytes)
+    answered, values, _ = await caller.answer()
+    assert answered == status
+    assert values[b"connection"] == b"close"
+    assert not edge.requests
+
+
+async def test_bad_request_waits_for_the_answers_before_it(edge):
+    """Guards against an error that is taken for the answer to an earlier request."""
+    first = edge.gate("/1")
+    caller = await edge.caller()
+    caller.send(get("/1") + b"nonsense\r\n\r\n")
+    await until(lambda: edge.requests)
+    first.set()
+    assert (await caller.answer())[0] == 200
+    assert (await caller.answer())[0] == 400
+
+
+async def test_nothing_is_read_behind_connection_close(edge):
+    """Guards against running a request that the caller sends again elsewhere."""
+    caller = await edge.caller()
+    caller.send(get("/1", "Connection: close") + get("/2"))
+    assert (await caller.answer())[2] == b"/1"
+    await caller.closed()
+    assert [each.path for each in edge.requests] == ["/1"]
+
+
+async def test_drain_answers_what_was_read_and_then_closes(edge):
+    """Guards against a planned stop that cuts requests, and against one that never ends."""
+    gate = edge.gate("/2")
+    caller = await edge.caller()
+    caller.send(get("/1") + get("/2"))
+    await until(lambda: len(edge.requests) == 2)
+    edge.server.begin_drain()
+    assert not edge.server.quiet()
+    gate.set()
+    assert b"connection" not in (await caller.answer())[1]
+    assert (await caller.answer())[1][b"connection"] == b"close"
+    assert await caller.closed() == b""
+    await until(edge.server.quiet)
+
+
+async def test_slow_header_section_gets_a_timeout(edge):
+    """Guards against connections that are held open by senders of a byte at a time."""
+    caller = await edge.caller()
+    caller.send(b"GET / HTTP/1.1\r\nHo")
+    assert (await caller.answer())[0] == 408
+
+
+async def test_buffered_bodies_are_bounded_and_given_back(edge):
+    """Guards against running out of memory, and against a bound that leaks."""
+    gate = edge.gate("/1")
+    post = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90000
+    first = await edge.caller()
+    first.send(post)
+    await until(lambda: edge.requests)
+    second = await edge.caller()
+    second.send(post)
+    assert (await second.answer())[0] == 503
+    gate.set()
+    assert (await first.answer())[0] == 200
+    third = await edge.caller()
+    third.send(post)
+    assert (await third.answer())[0] == 200
+
+
+async def test_continue_is_sent_before_the_body(edge):
+    """Guards against callers that wait for permission to send their body."""
+    caller = await edge.caller()
+    caller.send(
+        b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+    )
+    async with asyncio.timeout(5):
+        assert await caller.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    caller.send(b"ab")
+    assert (await caller.answer())[0] == 200
+
+
+async def test_head_has_no_body(edge):
+    """Guards against a body that the caller takes for the next answer."""
+    caller = await edge.caller()
+    caller.send(b"HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/2"))
+    async with asyncio.timeout(5):
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+    assert b"content-length: 2" in head
+    assert (await caller.answer())[2] == b"/2"
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -341,9 +341,7 @@
         self._services.block(ip, _GOODBYE_BLOCK_S)
 
     def _beacon(self) -> frames.Beacon:
-        return frames.Beacon(
-            self._incarnation, self._sync.revision, min(self._sync.age_s(), 1e6)
-        )
+        return frames.Beacon(self._incarnation, self._sync.revision, min(self._sync.age_s(), 1e6))
 
     def _tell_news(self, count: int) -> None:
         beacon = self._beacon()
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -20,9 +20,7 @@
         budget: bounds repeats.
     """
 
-    def __init__(
-        self, chooser: placement.Placement, budget: repeat_budget.RepeatBudget
-    ) -> None:
+    def __init__(self, chooser: placement.Placement, budget: repeat_budget.RepeatBudget) -> None:
         self.placement = chooser
         self.repeat_budget = budget
 
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -26,9 +26,7 @@
         slots: requests that the server runs at the same time.
     """
 
-    def __init__(
-        self, *, server_id: str, distance_s: float, other_zone: bool, slots: int
-    ) -> None:
+    def __init__(self, *, server_id: str, distance_s: float, other_zone: bool, slots: int) -> None:
         self.server_id = server_id
         self.distance_s = distance_s
         self.other_zone = other_zone
@@ -95,7 +93,7 @@
     def failure_share(self, now: float) -> float:
         """Returns the share of recent calls that failed, fading with time."""
         age_s = max(now - self._failure_at_s, 0.0)
-        return self._failure_share * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
+        return self._failure_share * math.exp2(-age_s / _FAILURE_HALF_LIFE_S)
 
     def looks_slow(self, now: float) -> bool:
         """Returns whether the server is believed to be in a slow spell."""
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_repeat_budget.py
@@ -0,0 +1,59 @@
+"""Tests of the budget for repeats."""
+
+import hypothesis
+from hypothesis import strategies
+
+from laburnumford_policy.placement import repeat_budget
+
+RATIO = 0.2
+SLACK = 64.0
+WINDOW_S = 10.0
+
+
+def make(nodes=1):
+    budget = repeat_budget.RepeatBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S)
+    budget.set_nodes(nodes)
+    return budget
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=50)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.floats(0, 0.5), strategies.booleans()), max_size=300
+    ),
+    strategies.integers(1, 20),
+)
+def test_sum_over_nodes_stays_below_the_common_bound(steps, nodes):
+    """Guards against nodes that together repeat more than the platform allows."""
+    budgets = [make(nodes) for _ in range(nodes)]
+    now = 0.0
+    requests = []
+    repeats = []
+    for gap_s, repeat in steps:
+        now += gap_s
+        for budget in budgets:
+            if repeat:
+                repeats.extend([now] if budget.take(now) else [])
+            else:
+                budget.observe_request(now)
+                requests.append(now)
+        begin = now - WINDOW_S
+        in_window = sum(at > begin for at in repeats)
+        assert in_window <= RATIO * sum(at > begin for at in requests) + SLACK
+
+
+def test_repeats_come_back_after_the_window():
+    """Guards against a budget that stays empty after a burst."""
+    budget = make()
+    while budget.take(0.0):
+        pass
+    assert not budget.take(5.0)
+    assert budget.take(WINDOW_S + 1.0)
+
+
+def test_slack_is_shared():
+    """Guards against each of many nodes using the whole slack."""
+    single = sum(make(1).take(0.0) for _ in range(1))
+    many = make(64)
+    assert single == 1
+    assert sum(many.take(0.0) for _ in range(10)) == 0
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
@@ -0,0 +1,79 @@
+"""Tests of the order beside a server."""
+
+import pytest
+
+from laburnumford_policy.placement import work_queue
+
+
+@pytest.fixture
+def queue():
+    return work_queue.WorkQueue(work_s=lambda key: 0.1)
+
+
+def entry(entry_id, *, nested=False, priority=1, aim_s=1.0, deadline_s=3.0):
+    return work_queue.WaitingRequest(
+        entry_id=entry_id,
+        nested=nested,
+        priority=priority,
+        aim_s=aim_s,
+        deadline_s=deadline_s,
+        work_key="k",
+    )
+
+
+def order(queue, now):
+    ids = []
+    while (found := queue.pop_next(now)) is not None:
+        ids.append(found.entry_id)
+    return ids
+
+
+def test_request_that_others_wait_for_goes_first(queue):
+    """Guards against a slot elsewhere that is held by work waiting in this queue."""
+    queue.add(entry(1, priority=0))
+    queue.add(entry(2, nested=True, priority=5))
+    assert order(queue, 0.5) == [2, 1]
+
+
+def test_higher_rank_goes_first(queue):
+    """Guards against a less urgent kind that is served better than an urgent one."""
+    queue.add(entry(1, priority=2))
+    queue.add(entry(2, priority=1))
+    assert order(queue, 0.5) == [2, 1]
+
+
+def test_burst_keeps_part_of_its_requests_in_time(queue):
+    """Guards against a burst in which every request becomes late.
+
+    Load pattern: more requests than slots for longer than the target latency.
+    """
+    for entry_id in range(20):
+        queue.add(entry(entry_id, aim_s=0.5 + entry_id * 0.001))
+    now = 0.0
+    in_time = 0
+    while (found := queue.pop_next(now)) is not None:
+        now += 0.1
+        in_time += now <= found.aim_s
+    assert in_time >= 4
+
+
+def test_late_request_does_not_hold_up_one_in_time(queue):
+    """Guards against spending a slot on work that has lost its worth already."""
+    queue.add(entry(1, aim_s=0.2))
+    queue.add(entry(2, aim_s=0.9))
+    assert order(queue, 0.5) == [2, 1]
+
+
+def test_hopeless_request_is_given_up_at_once(queue):
+    """Guards against requests that wait until their deadline for a certain refusal."""
+    queue.add(entry(1, deadline_s=0.55))
+    queue.add(entry(2, deadline_s=0.65))
+    assert [found.entry_id for found in queue.pop_hopeless(0.5)] == [1]
+    assert len(queue) == 1
+
+
+def test_ahead_counts_what_goes_first(queue):
+    """Guards against estimates of the wait that ignore the order."""
+    queue.add(entry(1, priority=2))
+    assert queue.ahead_of(entry(2, priority=1)) == 0
+    assert queue.ahead_of(entry(3, priority=3)) == 1
