--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
@@ -5,12 +5,12 @@
 import pytest
 
 
-def get(path, *more):
+def _get(path, *more):
     lines = [f"GET {path} HTTP/1.1", "Host: h", *more, "", ""]
     return "\r\n".join(lines).encode()
 
 
-async def until(condition):
+async def _until(condition):
     async with asyncio.timeout(5):
         while not condition():
             await asyncio.sleep(0.005)
@@ -20,8 +20,8 @@
     """Guards against a slow request that holds up the start of those behind it."""
     first = edge.gate("/1")
     caller = await edge.caller()
-    caller.send(get("/1") + get("/2") + get("/3"))
-    await until(lambda: len(edge.requests) == 3)
+    caller.send(_get("/1") + _get("/2") + _get("/3"))
+    await _until(lambda: len(edge.requests) == 3)
     first.set()
     assert [(await caller.answer())[2] for _ in range(3)] == [b"/1", b"/2", b"/3"]
 
@@ -41,10 +41,10 @@
     """Guards against work for callers that have gone away."""
     edge.gate("/1")
     caller = await edge.caller()
-    caller.send(get("/1"))
-    await until(lambda: edge.requests)
+    caller.send(_get("/1"))
+    await _until(lambda: edge.requests)
     caller.writer.close()
-    await until(lambda: edge.cancelled == ["/1"])
+    await _until(lambda: edge.cancelled == ["/1"])
 
 
 @pytest.mark.parametrize(
@@ -79,8 +79,8 @@
     """Guards against an error that is taken for the answer to an earlier request."""
     first = edge.gate("/1")
     caller = await edge.caller()
-    caller.send(get("/1") + b"nonsense\r\n\r\n")
-    await until(lambda: edge.requests)
+    caller.send(_get("/1") + b"nonsense\r\n\r\n")
+    await _until(lambda: edge.requests)
     first.set()
     assert (await caller.answer())[0] == 200
     assert (await caller.answer())[0] == 400
@@ -89,7 +89,7 @@
 async def test_nothing_is_read_behind_connection_close(edge):
     """Guards against running a request that the caller sends again elsewhere."""
     caller = await edge.caller()
-    caller.send(get("/1", "Connection: close") + get("/2"))
+    caller.send(_get("/1", "Connection: close") + _get("/2"))
     assert (await caller.answer())[2] == b"/1"
     await caller.closed()
     assert [each.path for each in edge.requests] == ["/1"]
@@ -99,15 +99,15 @@
     """Guards against a planned stop that cuts requests, and against one that never ends."""
     gate = edge.gate("/2")
     caller = await edge.caller()
-    caller.send(get("/1") + get("/2"))
-    await until(lambda: len(edge.requests) == 2)
+    caller.send(_get("/1") + _get("/2"))
+    await _until(lambda: len(edge.requests) == 2)
     edge.server.begin_drain()
     assert not edge.server.quiet()
     gate.set()
     assert b"connection" not in (await caller.answer())[1]
     assert (await caller.answer())[1][b"connection"] == b"close"
     assert await caller.closed() == b""
-    await until(edge.server.quiet)
+    await _until(edge.server.quiet)
 
 
 async def test_slow_header_section_gets_a_timeout(edge):
@@ -123,7 +123,7 @@
     post = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90000
     first = await edge.caller()
     first.send(post)
-    await until(lambda: edge.requests)
+    await _until(lambda: edge.requests)
     second = await edge.caller()
     second.send(post)
     assert (await second.answer())[0] == 503
@@ -149,7 +149,7 @@
 async def test_head_has_no_body(edge):
     """Guards against a body that the caller takes for the next answer."""
     caller = await edge.caller()
-    caller.send(b"HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/2"))
+    caller.send(b"HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n" + _get("/2"))
     async with asyncio.timeout(5):
         head = await caller.reader.readuntil(b"\r\n\r\n")
     assert b"content-length: 2" in head
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
@@ -1,6 +1,7 @@
 """Tests of connections to backend servers."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -18,12 +19,14 @@
     def __init__(self):
         self.answers = []
         self.connections = 0
-        self._server = None
+        self._listening = contextlib.AsyncExitStack()
+        self.port = 0
 
     async def start(self):
         """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()[1]
+        started = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._listening.callback(started.close)
+        self.port = started.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
         self.connections += 1
@@ -48,19 +51,21 @@
 
     async def stop(self):
         """Stops listening."""
-        self._server.close()
+        await self._listening.aclose()
 
 
 @pytest.fixture
 async def server():
+    """Returns a started server."""
     made = Server()
-    made.port = await made.start()
+    await made.start()
     yield made
     await made.stop()
 
 
 @pytest.fixture
 async def pool(server):
+    """Returns a pool for the server."""
     made = server_connection.ServerPool(
         address=f"127.0.0.1:{server.port}", id_field=ID, connect_timeout_s=1.0
     )
@@ -68,14 +73,14 @@
     made.close()
 
 
-def response(request_id, body=b"ok", *more):
+def _response(request_id, body=b"ok", *more):
     head = b"\r\n".join(
         [b"HTTP/1.1 200 OK", b"X-Id: " + request_id, b"Content-Length: %d" % len(body), *more]
     )
     return head + b"\r\n\r\n" + body
 
 
-async def exchange(pool, request_id=b"1"):
+async def _exchange(pool, request_id=b"1"):
     connection = await pool.acquire(10.0)
     try:
         async with asyncio.timeout(5):
@@ -86,23 +91,23 @@
 
 async def test_connection_is_reused(server, pool):
     """Guards against a new connection for each request."""
-    server.answers = [(response(b"1"), ""), (response(b"2"), "")]
-    await exchange(pool, b"1")
-    await exchange(pool, b"2")
+    server.answers = [(_response(b"1"), ""), (_response(b"2"), "")]
+    await _exchange(pool, b"1")
+    await _exchange(pool, b"2")
     assert pool.opened_count == 1
 
 
 async def test_answer_to_another_request_is_dropped(server, pool):
     """Guards against a late second answer that is handed to the next caller."""
-    server.answers = [(response(b"0", b"stale") + response(b"1", b"own"), "")]
-    found, _ = await exchange(pool, b"1")
+    server.answers = [(_response(b"0", b"stale") + _response(b"1", b"own"), "")]
+    found, _ = await _exchange(pool, b"1")
     assert found.body == b"own"
 
 
 async def test_extra_answer_makes_the_connection_unusable(server, pool):
     """Guards against bytes behind an answer that are read as the next one."""
-    server.answers = [(response(b"1") + response(b"1", b"again"), ""), (response(b"2"), "")]
-    found, connection = await exchange(pool, b"1")
+    server.answers = [(_response(b"1") + _response(b"1", b"again"), ""), (_response(b"2"), "")]
+    found, connection = await _exchange(pool, b"1")
     assert found.body == b"ok"
     assert not connection.reusable
 
@@ -110,7 +115,7 @@
 async def test_answer_without_length_ends_with_its_connection(server, pool):
     """Guards against losing a valid answer whose end is the end of the connection."""
     server.answers = [(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it", "close")]
-    found, _ = await exchange(pool)
+    found, _ = await _exchange(pool)
     assert found.body == b"all of it"
 
 
@@ -118,7 +123,7 @@
     """Guards against half an answer that looks whole."""
     server.answers = [(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf", "reset")]
     with pytest.raises(errors.HttpError):
-        await exchange(pool)
+        await _exchange(pool)
 
 
 @pytest.mark.parametrize(
@@ -133,21 +138,24 @@
     """Guards against truncated and invalid answers that reach a caller."""
     server.answers = [(data, "close")]
     with pytest.raises(errors.HttpError):
-        await exchange(pool)
+        await _exchange(pool)
 
 
 async def test_keep_alive_time_of_the_server_is_kept(server, pool):
     """Guards against a request on a connection that the server is about to close."""
-    server.answers = [(response(b"1", b"ok", b"Keep-Alive: timeout=1"), ""), (response(b"2"), "")]
-    _, connection = await exchange(pool, b"1")
+    server.answers = [
+        (_response(b"1", b"ok", b"Keep-Alive: timeout=1"), ""),
+        (_response(b"2"), ""),
+    ]
+    _, connection = await _exchange(pool, b"1")
     assert connection.is_fresh(connection.idle_since_s, 10.0)
     assert not connection.is_fresh(connection.idle_since_s + 0.5, 10.0)
 
 
 async def test_idle_bound_opens_a_new_connection(server, pool):
     """Guards against sending what cannot be repeated on a connection that may be gone."""
-    server.answers = [(response(b"1"), ""), (response(b"2"), "")]
-    await exchange(pool, b"1")
+    server.answers = [(_response(b"1"), ""), (_response(b"2"), "")]
+    await _exchange(pool, b"1")
     connection = await pool.acquire(-1.0)
     assert pool.opened_count == 2
     connection.close()
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_repeat_budget.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_repeat_budget.py
@@ -10,7 +10,7 @@
 WINDOW_S = 10.0
 
 
-def make(nodes=1):
+def _make(nodes=1):
     budget = repeat_budget.RepeatBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S)
     budget.set_nodes(nodes)
     return budget
@@ -25,7 +25,7 @@
 )
 def test_sum_over_nodes_stays_below_the_common_bound(steps, nodes):
     """Guards against nodes that together repeat more than the platform allows."""
-    budgets = [make(nodes) for _ in range(nodes)]
+    budgets = [_make(nodes) for _ in range(nodes)]
     now = 0.0
     requests = []
     repeats = []
@@ -44,7 +44,7 @@
 
 def test_repeats_come_back_after_the_window():
     """Guards against a budget that stays empty after a burst."""
-    budget = make()
+    budget = _make()
     while budget.take(0.0):
         pass
     assert not budget.take(5.0)
@@ -53,7 +53,7 @@
 
 def test_slack_is_shared():
     """Guards against each of many nodes using the whole slack."""
-    single = sum(make(1).take(0.0) for _ in range(1))
-    many = make(64)
+    single = sum(_make(1).take(0.0) for _ in range(1))
+    many = _make(64)
     assert single == 1
     assert sum(many.take(0.0) for _ in range(10)) == 0
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
@@ -7,10 +7,11 @@
 
 @pytest.fixture
 def queue():
-    return work_queue.WorkQueue(work_s=lambda key: 0.1)
+    """Returns a queue for work of 100 ms."""
+    return work_queue.WorkQueue(work_s=lambda _: 0.1)
 
 
-def entry(entry_id, *, nested=False, priority=1, aim_s=1.0, deadline_s=3.0):
+def _entry(entry_id, *, nested=False, priority=1, aim_s=1.0, deadline_s=3.0):
     return work_queue.WaitingRequest(
         entry_id=entry_id,
         nested=nested,
@@ -21,7 +22,7 @@
     )
 
 
-def order(queue, now):
+def _order(queue, now):
     ids = []
     while (found := queue.pop_next(now)) is not None:
         ids.append(found.entry_id)
@@ -30,16 +31,16 @@
 
 def test_request_that_others_wait_for_goes_first(queue):
     """Guards against a slot elsewhere that is held by work waiting in this queue."""
-    queue.add(entry(1, priority=0))
-    queue.add(entry(2, nested=True, priority=5))
-    assert order(queue, 0.5) == [2, 1]
+    queue.add(_entry(1, priority=0))
+    queue.add(_entry(2, nested=True, priority=5))
+    assert _order(queue, 0.5) == [2, 1]
 
 
 def test_higher_rank_goes_first(queue):
     """Guards against a less urgent kind that is served better than an urgent one."""
-    queue.add(entry(1, priority=2))
-    queue.add(entry(2, priority=1))
-    assert order(queue, 0.5) == [2, 1]
+    queue.add(_entry(1, priority=2))
+    queue.add(_entry(2, priority=1))
+    assert _order(queue, 0.5) == [2, 1]
 
 
 def test_burst_keeps_part_of_its_requests_in_time(queue):
@@ -48,7 +49,7 @@
     Load pattern: more requests than slots for longer than the target latency.
     """
     for entry_id in range(20):
-        queue.add(entry(entry_id, aim_s=0.5 + entry_id * 0.001))
+        queue.add(_entry(entry_id, aim_s=0.5 + entry_id * 0.001))
     now = 0.0
     in_time = 0
     while (found := queue.pop_next(now)) is not None:
@@ -59,21 +60,21 @@
 
 def test_late_request_does_not_hold_up_one_in_time(queue):
     """Guards against spending a slot on work that has lost its worth already."""
-    queue.add(entry(1, aim_s=0.2))
-    queue.add(entry(2, aim_s=0.9))
-    assert order(queue, 0.5) == [2, 1]
+    queue.add(_entry(1, aim_s=0.2))
+    queue.add(_entry(2, aim_s=0.9))
+    assert _order(queue, 0.5) == [2, 1]
 
 
 def test_hopeless_request_is_given_up_at_once(queue):
     """Guards against requests that wait until their deadline for a certain refusal."""
-    queue.add(entry(1, deadline_s=0.55))
-    queue.add(entry(2, deadline_s=0.65))
+    queue.add(_entry(1, deadline_s=0.55))
+    queue.add(_entry(2, deadline_s=0.65))
     assert [found.entry_id for found in queue.pop_hopeless(0.5)] == [1]
     assert len(queue) == 1
 
 
 def test_ahead_counts_what_goes_first(queue):
     """Guards against estimates of the wait that ignore the order."""
-    queue.add(entry(1, priority=2))
-    assert queue.ahead_of(entry(2, priority=1)) == 0
-    assert queue.ahead_of(entry(3, priority=3)) == 1
+    queue.add(_entry(1, priority=2))
+    assert queue.ahead_of(_entry(2, priority=1)) == 0
+    assert queue.ahead_of(_entry(3, priority=3)) == 1
