Refuse requests to a server that is gone without sending them

Change: the node asks the server beside it for its id; of several entries at one address only the newest counts; a request is told of a slow spell once.

--- a/packages/mesh/src/laburnumford_mesh/call.py
+++ b/packages/mesh/src/laburnumford_mesh/call.py
@@ -23,7 +23,6 @@
         arrived_s: when it arrived, of `clock.now`.
         aim_s: time until which an answer has its full worth.
         deadline_s: time after which nobody waits for an answer.
-        nested: whether a running request waits for it.
     """
 
     request_id: str
@@ -39,4 +38,3 @@
     arrived_s: float
     aim_s: float
     deadline_s: float
-    nested: bool
--- a/packages/mesh/src/laburnumford_mesh/directory.py
+++ b/packages/mesh/src/laburnumford_mesh/directory.py
@@ -35,13 +35,17 @@
         """Returns all known servers, leaving ones included."""
         return list(self._entry_by_key.values())
 
-    def usable(self, service: str) -> list[server_entry.ServerEntry]:
-        """Returns the servers of a service that may get new requests."""
-        return [
-            entry
-            for entry in self._entry_by_key.values()
-            if entry.service == service and not entry.draining
-        ]
+    def usable(self) -> list[server_entry.ServerEntry]:
+        """Returns the servers that may get new requests.
+
+        Of several entries with one address only the newest can be right.
+        """
+        newest_by_address: dict[str, server_entry.ServerEntry] = {}
+        for entry in self._entry_by_key.values():
+            known = newest_by_address.get(entry.address)
+            if known is None or entry.age_order > known.age_order:
+                newest_by_address[entry.address] = entry
+        return [entry for entry in newest_by_address.values() if not entry.draining]
 
     def apply(self, records: Iterable[record.Record], *, after_outage: bool) -> None:
         """Takes over changed records.
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -26,13 +26,16 @@
 _UNREACHABLE_BLOCK_S = 0.5
 _LEAVING_BLOCK_S = 1.0
 _DOWN_BLOCK_S = 0.3
+_GONE_BLOCK_S = 5.0
+"""Another server has the address; the entry of the one before it expires within seconds."""
+
 _DEFAULT_WORK_S = 0.05
 _HEDGE_FACTOR = 2.0
 """A second server is asked when the first takes twice the time that was expected of it."""
 
 _HEDGE_FLOOR_S = 0.03
 
-_ARRIVED_REASONS = frozenset({"server-refused", "other-server"})
+_ARRIVED_REASONS = frozenset({"server-refused", "misdirected"})
 """Refusals by a server itself: the request reached it, which counts as an arrival."""
 
 _SLOW_REASON = "slow"
@@ -42,7 +45,8 @@
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
     "leaving": _LEAVING_BLOCK_S,
     "server-down": _DOWN_BLOCK_S,
-    "other-server": _LEAVING_BLOCK_S,
+    "other-server": _GONE_BLOCK_S,
+    "misdirected": _GONE_BLOCK_S,
 }
 
 Result = frames.Answer | frames.Refusal | frames.Unknown
@@ -51,13 +55,22 @@
 class _Attempts:
     """What was tried for one request."""
 
-    __slots__ = ("arrivals", "excluded", "last_failure", "maybe_ran", "refusals", "retry_after_s")
+    __slots__ = (
+        "arrivals",
+        "excluded",
+        "known_slow",
+        "last_failure",
+        "maybe_ran",
+        "refusals",
+        "retry_after_s",
+    )
 
     def __init__(self) -> None:
         self.arrivals = 0
         self.refusals = 0
         self.maybe_ran = False
         self.excluded: set[str] = set()
+        self.known_slow: set[str] = set()
         self.retry_after_s = 0.0
         self.last_failure: frames.Answer | None = None
 
@@ -114,8 +127,10 @@
             if tried.arrivals and not self._may_repeat(ongoing, state, tried):
                 return self._give_up(tried, "budget")
             result, used = await self._attempt_hedged(ongoing, state, view, tried)
-            if not (isinstance(result, frames.Refusal) and result.reason == _SLOW_REASON):
-                tried.excluded.add(used.server_id)
+            if isinstance(result, frames.Refusal) and result.reason == _SLOW_REASON:
+                tried.known_slow.add(used.server_id)
+                continue
+            tried.excluded.add(used.server_id)
             if isinstance(result, frames.Answer):
                 if not self._is_failure(ongoing, result):
                     return result
@@ -174,9 +189,9 @@
     ) -> tuple[Result, server_view.ServerView]:
         """Makes an attempt, and a second one beside it if the first is slow."""
         if not ongoing.idempotent or tried.arrivals + 1 >= ongoing.max_attempts:
-            return await self._attempt(ongoing, state, view), view
+            return await self._attempt(ongoing, state, view, tried), view
         loop = asyncio.get_running_loop()
-        view_by_task = {loop.create_task(self._attempt(ongoing, state, view)): view}
+        view_by_task = {loop.create_task(self._attempt(ongoing, state, view, tried)): view}
         delay_s = self._hedge_delay_s(ongoing, state, view)
         try:
             done, _ = await asyncio.wait(view_by_task, timeout=delay_s)
@@ -185,7 +200,9 @@
                 if second is not None:
                     self._metrics.count("hedges_total", ongoing.service)
                     tried.arrivals += 1
-                    view_by_task[loop.create_task(self._attempt(ongoing, state, second))] = second
+                    view_by_task[
+                        loop.create_task(self._attempt(ongoing, state, second, tried))
+                    ] = second
             return await self._first_good(ongoing, view_by_task, tried)
         finally:
             for task in view_by_task:
@@ -238,13 +255,17 @@
         return second
 
     async def _attempt(
-        self, ongoing: call.Call, state: services.ServiceState, view: server_view.ServerView
+        self,
+        ongoing: call.Call,
+        state: services.ServiceState,
+        view: server_view.ServerView,
+        tried: _Attempts,
     ) -> Result:
         view.observe_sent()
         started_s = clock.now()
         result: Result | None = None
         try:
-            result = await self._send(ongoing, view, started_s)
+            result = await self._send(ongoing, view, tried, started_s)
         finally:
             view.observe_ended()
             ended_s = clock.now()
@@ -253,7 +274,13 @@
                 self._log_attempt(ongoing, view, result, ended_s - started_s)
         return result
 
-    async def _send(self, ongoing: call.Call, view: server_view.ServerView, now: float) -> Result:
+    async def _send(
+        self,
+        ongoing: call.Call,
+        view: server_view.ServerView,
+        tried: _Attempts,
+        now: float,
+    ) -> Result:
         entry = self._services.entry_by_server_id.get(view.server_id)
         frame = frames.Request(
             call_id=next(self._call_ids),
@@ -266,9 +293,8 @@
             aim_left_s=ongoing.aim_s - now,
             idempotent=ongoing.idempotent,
             priority=ongoing.priority,
-            nested=ongoing.nested,
             work_key=ongoing.route_name,
-            expects_slow=view.looks_slow(now),
+            expects_slow=view.looks_slow(now) or view.server_id in tried.known_slow,
         )
         if entry is None:
             return frames.Refusal(frame.call_id, "no-server", 0.0, self._local.report())
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -132,7 +132,6 @@
             arrived_s=received.received_s,
             aim_s=received.received_s + found.target_latency_s,
             deadline_s=received.received_s + left_s,
-            nested=False,
         )
 
     def _choose_service(self, found: route.Route, current: configuration.Configuration) -> str:
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -62,7 +62,6 @@
         aim_left_s: time until the answer loses worth; may be negative.
         idempotent: whether it may run more than once.
         priority: rank, 0 is the highest.
-        nested: whether a running request waits for it.
         work_key: route, by which service times are told apart.
         expects_slow: whether the sender knows that the server may be in a slow spell. If it
             does not, it is told first and may choose another server.
@@ -78,7 +77,6 @@
     aim_left_s: float
     idempotent: bool
     priority: int
-    nested: bool
     work_key: str
     expects_slow: bool
 
--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import fcntl
+import logging
 import sys
 import termios
 from collections.abc import Awaitable, Callable
@@ -20,6 +21,7 @@
 Handler = Callable[[request.Request], Awaitable[answers.Answer]]
 """Answers one request. It is cancelled when the caller goes away."""
 
+_LOG = logging.getLogger("laburnumford.mesh")
 _MAX_PIPELINED = 16
 """Bounds the requests that one connection has in work; more stay in the socket."""
 
@@ -77,6 +79,7 @@
         self._reading_paused = False
         self._draining = False
         self._ended = False
+        self._remote_ip = ""
         self.last_activity_s = clock.now()
         self.header_started_s: float | None = None
 
@@ -85,6 +88,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the transport."""
         self._transport = cast(asyncio.Transport, transport)
+        self._remote_ip = str(transport.get_extra_info("peername")[0])
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -187,6 +191,7 @@
             body=body,
             keep_alive=self._parser.should_keep_alive(),
             received_s=clock.now(),
+            remote_ip=self._remote_ip,
         )
         slot = _Slot(keep_alive=received.keep_alive, is_head=received.method == b"HEAD")
         self._slots.append(slot)
@@ -235,6 +240,12 @@
     async def _serve(self, slot: _Slot, received: request.Request) -> None:
         try:
             slot.answer = await self._handler(received)
+        except Exception:
+            # A request without an answer would hold up all those behind it.
+            _LOG.exception("edge: handler failed")
+            slot.answer = answers.Answer(
+                status=502, reason=b"Bad Gateway", fields=(), body=b"", close=True
+            )
         finally:
             self._reserve(-len(received.body))
         if not self._ended:
--- a/packages/mesh/src/laburnumford_mesh/http/request.py
+++ b/packages/mesh/src/laburnumford_mesh/http/request.py
@@ -17,6 +17,7 @@
         body: the whole body.
         keep_alive: whether the caller wants the connection kept open.
         received_s: time when its last byte was read, of `clock.now`.
+        remote_ip: address that the connection came from.
     """
 
     method: bytes
@@ -26,6 +27,7 @@
     body: bytes
     keep_alive: bool
     received_s: float
+    remote_ip: str
 
     @property
     def path(self) -> str:
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -32,6 +32,10 @@
 _PROBE_PAUSE_S = 0.02
 """Bounds the probes to 50 a second; the platform allows 60."""
 
+_IDENTITY_S = 0.2
+"""How long the server's own word on its id is relied upon. A server may end and another one
+start at its address within some seconds."""
+
 _DOWN_S = 0.3
 """After a refused connection the server is taken to be down for this long."""
 
@@ -78,6 +82,7 @@
         self._probed_s = -math.inf
         self._down_until_s = -math.inf
         self.server_id = ""
+        self._confirmed_s = -math.inf
         self.slots = 1
         self.running = 0
         self.leaving = False
@@ -97,12 +102,13 @@
     @property
     def limit(self) -> int:
         """Requests that run at the same time."""
-        return self.slots
+        return max(self.slots * 8 // 10, 1)
 
     def apply(self, *, server_id: str, slots: int, health_path: str) -> None:
         """Takes over the server's entry and the health path of its service."""
-        self.server_id = server_id
         self._health_path = health_path
+        if not self._is_confirmed():
+            self.server_id = server_id
         self.slots = max(slots, 1)
         self._start_waiting()
 
@@ -162,16 +168,17 @@
             raise errors.RefusedError("leaving")
         if started_s < self._down_until_s:
             raise errors.RefusedError("server-down")
+        if request.server_id != self.server_id and not await self._is_server(request.server_id):
+            raise errors.RefusedError("other-server")
         work_s = self._expected_work_s(request.work_key)
         if started_s + work_s > deadline_s:
             raise errors.RefusedError("deadline")
         speed = self._speed()
         known = started_s - self._slowness_at_s < _SAMPLE_S
-        if known and speed.slow and not request.expects_slow and not request.nested:
+        if known and speed.slow and not request.expects_slow:
             raise errors.RefusedError("slow")
         entry = work_queue.WaitingRequest(
             entry_id=next(self._entry_ids),
-            nested=request.nested,
             priority=request.priority,
             aim_s=started_s + request.aim_left_s,
             deadline_s=deadline_s,
@@ -194,6 +201,27 @@
         finally:
             self._grant_by_id.pop(entry.entry_id, None)
 
+    async def _is_server(self, server_id: str) -> bool:
+        """Asks the server for its id, unless it has told it a moment ago."""
+        if not self._is_confirmed():
+            self._start_probe(clock.now())
+            if self._probe is not None:
+                await asyncio.wait({self._probe})
+        # Without an answer the server itself decides by the id in the request.
+        return server_id == self.server_id or not self._is_confirmed()
+
+    def _is_confirmed(self) -> bool:
+        return clock.now() - self._confirmed_s < _IDENTITY_S
+
+    def _observe_identity(self, value: bytes | None) -> None:
+        if value is None:
+            return
+        self._confirmed_s = clock.now()
+        found = value.decode("latin-1")
+        if found != self.server_id:
+            self._log.write("server_changed", server=found, previous=self.server_id)
+            self.server_id = found
+
     async def _exchange(self, request: frames.Request, deadline_s: float) -> Any:
         connection: server_connection.ServerConnection | None = None
         sent_s = clock.now()
@@ -263,7 +291,8 @@
         value_by_name = dict(answer.fields)
         self._observe_load(value_by_name.get(self._names.load))
         if answer.status == 421 or self._names.not_run in value_by_name:
-            reason = "other-server" if answer.status == 421 else "server-refused"
+            self._observe_identity(value_by_name.get(self._names.server_id))
+            reason = "misdirected" if answer.status == 421 else "server-refused"
             return frames.Refusal(request.call_id, reason, 0.0, self.report())
         if answer.status < 300 and self._names.signature not in value_by_name:
             return frames.Unknown(request.call_id, "answer-unsigned", self.report())
@@ -363,6 +392,7 @@
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 connection = await self._pool.acquire(_ANY_IDLE_S)
                 answer = await connection.send(b"GET", encoded)
+            self._observe_identity(fields.get(answer.fields, self._names.server_id))
             self._observe_load(fields.get(answer.fields, self._names.load))
         except (TimeoutError, http_errors.HttpError) as error:
             self._log.write("probe_failed", server=self.server_id, error=str(error))
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -283,14 +283,14 @@
                 health_path=paths.get(own.service, ""),
             )
         self._peers.apply(entry.ip for entry in entries)
-        self._services.apply(entries, nodes=self._peers.count + 1)
+        self._services.apply(self._directory.usable(), nodes=self._peers.count + 1)
         self._reader = self._rank(entries) < _READERS
 
     def _own_entry(
         self, entries: Sequence[server_entry.ServerEntry]
     ) -> server_entry.ServerEntry | None:
         found = [each for each in entries if each.address == self._settings.server_address]
-        return max(found, key=lambda entry: entry.born_ms, default=None)
+        return max(found, key=lambda entry: entry.age_order, default=None)
 
     def _rank(self, entries: Sequence[server_entry.ServerEntry]) -> int:
         """Returns the place of this VM in an order that all nodes compute alike."""
--- a/packages/mesh/src/laburnumford_mesh/server_entry.py
+++ b/packages/mesh/src/laburnumford_mesh/server_entry.py
@@ -16,6 +16,7 @@
         draining: whether it is about to leave.
         cold_s: seconds for which it is still slow after its start.
         born_ms: Unix time of its start in milliseconds, 0 if unknown.
+        revision: revision of its last change.
     """
 
     server_id: str
@@ -26,6 +27,12 @@
     draining: bool
     cold_s: float
     born_ms: int
+    revision: int
+
+    @property
+    def age_order(self) -> tuple[int, int]:
+        """Sorts entries with one address: the last one is the server that is there now."""
+        return (self.born_ms, self.revision)
 
     @property
     def ip(self) -> str:
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -77,8 +77,7 @@
         self.entry_by_server_id = {}
         for entry in entries:
             self.entry_by_server_id[entry.server_id] = entry
-            if not entry.draining:
-                by_service.setdefault(entry.service, []).append(self._view(entry))
+            by_service.setdefault(entry.service, []).append(self._view(entry))
         for service, views in by_service.items():
             state = self.state(service)
             state.placement.apply(views)
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -1,9 +1,9 @@
 """Order of the requests that wait for a server's slots.
 
 Answers the load pattern of a burst on one service: first come, first served makes every
-request of the burst late. Requests that can still be answered in time go first; requests
-that a running request waits for go before new work, since that one holds a slot elsewhere;
-what can no longer be answered before its deadline is given up at once.
+request of the burst late. Requests that can still be answered in time go first, by rank and
+then by the time that is left; a call that a running request waits for is short of time and so
+goes before new work. What can no longer be answered before its deadline is given up at once.
 """
 
 import dataclasses
@@ -16,7 +16,6 @@
 
     Attributes:
         entry_id: number that the owner gave it.
-        nested: whether a running request waits for it.
         priority: rank, 0 is the highest.
         aim_s: time until which an answer has its full worth.
         deadline_s: time until which an answer has any worth.
@@ -24,7 +23,6 @@
     """
 
     entry_id: int
-    nested: bool
     priority: int
     aim_s: float
     deadline_s: float
@@ -77,6 +75,6 @@
         del self._waiting_by_id[best.entry_id]
         return best
 
-    def _rank(self, entry: WaitingRequest, now: float) -> tuple[bool, bool, int, float]:
+    def _rank(self, entry: WaitingRequest, now: float) -> tuple[bool, int, float]:
         late = now > 0 and now + self._work_s(entry.work_key) > entry.aim_s
-        return (not entry.nested, late, entry.priority, entry.deadline_s if late else entry.aim_s)
+        return (late, entry.priority, entry.deadline_s if late else entry.aim_s)
