Keep the queue beside a server short enough to be in time

Change: a request queues only if twice its expected wait fits before its target; a request that has become late gives way to those in time, and is served late where nothing else waits.

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -184,9 +184,9 @@
             deadline_s=deadline_s,
             work_key=request.work_key,
         )
-        ahead = self.running + self._queue.ahead_of(entry) - self.limit + 1
-        if ahead > 0 and started_s + work_s * (1 + ahead / self.limit) > deadline_s:
-            raise errors.RefusedError("overloaded", work_s * ahead / self.limit)
+        wait_s = self._expected_wait_s(entry, work_s)
+        if not self._queue.has_room_for(entry, started_s, wait_s):
+            raise errors.RefusedError("overloaded", wait_s)
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._grant_by_id[entry.entry_id] = granted
         self._queue.add(entry)
@@ -201,6 +201,11 @@
         finally:
             self._grant_by_id.pop(entry.entry_id, None)
 
+    def _expected_wait_s(self, entry: work_queue.WaitingRequest, work_s: float) -> float:
+        """Returns the expected time until a slot is free for a request."""
+        ahead = self.running + self._queue.ahead_of(entry) + 1 - self.limit
+        return max(ahead, 0) * work_s / self.limit
+
     async def _is_server(self, server_id: str) -> bool:
         """Asks the server for its id, unless it has told it a moment ago."""
         if not self._is_confirmed():
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -10,6 +10,11 @@
 from collections.abc import Callable
 
 
+_WAIT_MARGIN = 2.0
+"""Slow spells and requests of a higher rank stretch the wait. At saturation the queue is as
+long as it is allowed to be, and without a margin half of its requests end late."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WaitingRequest:
     """One request that waits.
@@ -56,16 +61,42 @@
         rank = self._rank(entry, 0.0)
         return sum(self._rank(other, 0.0) <= rank for other in self._waiting_by_id.values())
 
+    def has_room_for(self, entry: WaitingRequest, now: float, wait_s: float) -> bool:
+        """Returns whether it is worth while for a request to wait.
+
+        A request that will be late takes a slot from one that would not be, so it waits only
+        where no other does.
+
+        Args:
+            entry: the request.
+            now: current time.
+            wait_s: expected time until a slot is free.
+        """
+        end_s = now + _WAIT_MARGIN * wait_s + self._work_s(entry.work_key)
+        if end_s <= entry.aim_s:
+            return True
+        return end_s <= entry.deadline_s and not self._waiting_by_id
+
     def pop_hopeless(self, now: float) -> list[WaitingRequest]:
-        """Removes and returns the requests that cannot be answered before their deadline."""
-        hopeless = [
+        """Removes and returns the requests for which waiting has become useless.
+
+        These cannot be answered before their deadline any more, or would be late and hold up
+        others that would not be.
+        """
+        waiting = list(self._waiting_by_id.values())
+        others_in_time = not all(self._is_late(entry, now) for entry in waiting)
+        useless = [
             entry
-            for entry in self._waiting_by_id.values()
+            for entry in waiting
             if now + self._work_s(entry.work_key) > entry.deadline_s
+            or (others_in_time and self._is_late(entry, now))
         ]
-        for entry in hopeless:
+        for entry in useless:
             del self._waiting_by_id[entry.entry_id]
-        return hopeless
+        return useless
+
+    def _is_late(self, entry: WaitingRequest, now: float) -> bool:
+        return now + self._work_s(entry.work_key) > entry.aim_s
 
     def pop_next(self, now: float) -> WaitingRequest | None:
         """Removes and returns the request to run next."""
@@ -76,5 +107,5 @@
         return best
 
     def _rank(self, entry: WaitingRequest, now: float) -> tuple[bool, int, float]:
-        late = now > 0 and now + self._work_s(entry.work_key) > entry.aim_s
+        late = now > 0 and self._is_late(entry, now)
         return (late, entry.priority, entry.deadline_s if late else entry.aim_s)
