--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -0,0 +1,196 @@
+"""Tests of the node's side of the server beside it."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from laburnumford_mesh import frames, local_server
+from laburnumford_mesh.tests import conftest
+
+CALL = iter(range(1, 10_000))
+
+
+@pytest.fixture
+async def local(backend, log):
+    """Returns a local server for the backend server."""
+    made = local_server.LocalServer(
+        address=backend.address, names=conftest.NAMES, log=log, on_load_change=lambda: None
+    )
+    made.apply(server_id="a", slots=conftest.SLOTS, health_path="/health")
+    sweeper = asyncio.create_task(_sweep(made))
+    yield made
+    sweeper.cancel()
+    made.close()
+
+
+async def _sweep(swept):
+    while True:
+        swept.sweep()
+        await asyncio.sleep(0.01)
+
+
+def _request(request_id="1", **changes):
+    values = {
+        "call_id": next(CALL),
+        "server_id": "a",
+        "method": b"GET",
+        "target": b"/x",
+        "fields": [(b"host", b"h"), (b"x-id", request_id.encode())],
+        "body": b"",
+        "left_s": 2.0,
+        "aim_left_s": 1.0,
+        "idempotent": True,
+        "priority": 1,
+        "work_key": "k",
+        "expects_slow": True,
+    }
+    return frames.Request(**(values | changes))
+
+
+async def _until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_answer_passes_unchanged(local, backend):
+    """Guards against answers without the server's signature or body."""
+    found = await local.run(_request())
+    assert (found.status, found.body) == (200, b"ok")
+    assert (b"x-signature", b"a") in found.fields
+    assert int(backend.headers[0]["x-timeout"]) <= 2000
+
+
+async def test_work_waits_for_the_end_of_a_slow_spell(local, backend):
+    """Guards against runs that start while the server is five times slower.
+
+    Load pattern: a noisy neighbour for some hundred milliseconds.
+    """
+    backend.work_s = 0.1
+    await local.run(_request("0"))
+    backend.slowness = 1000
+    await asyncio.sleep(0.05)
+    waiting = asyncio.create_task(local.run(_request("1")))
+    await _until(lambda: backend.health_checks > 1)
+    assert backend.runs == ["0"]
+    backend.slowness = 100
+    assert (await waiting).status == 200
+
+
+async def test_sender_that_does_not_know_of_the_spell_is_told(local, backend):
+    """Guards against holding a request that another server could run at once."""
+    backend.slowness = 1000
+    task = asyncio.create_task(local.run(_request("0")))
+    await _until(lambda: backend.health_checks)
+    await asyncio.sleep(0.01)
+    found = await local.run(_request("1", expects_slow=False))
+    assert found.reason == "slow"
+    assert found.load.slowness == 10.0
+    await task
+
+
+async def test_limit_holds_and_waiting_requests_follow(local, backend):
+    """Guards against more requests at the server than it has slots for."""
+    backend.gate.clear()
+    tasks = [asyncio.create_task(local.run(_request(str(i)))) for i in range(10)]
+    await _until(lambda: len(backend.runs) == local.limit)
+    await asyncio.sleep(0.05)
+    assert len(backend.runs) == local.limit < conftest.SLOTS
+    backend.gate.set()
+    results = await asyncio.gather(*tasks)
+    assert all(isinstance(found, frames.Answer) for found in results)
+
+
+async def test_caller_that_leaves_ends_a_repeatable_run(local, backend):
+    """Guards against work for nobody."""
+    backend.gate.clear()
+    task = asyncio.create_task(local.run(_request()))
+    await _until(lambda: backend.runs)
+    task.cancel()
+    await _until(lambda: backend.broken == ["1"])
+    await _until(lambda: local.running == 0)
+
+
+async def test_caller_that_leaves_does_not_break_other_work(local, backend):
+    """Guards against a booking that is broken off midway, with nobody knowing its end."""
+    backend.gate.clear()
+    task = asyncio.create_task(local.run(_request(idempotent=False)))
+    await _until(lambda: backend.runs)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+    backend.gate.set()
+    await _until(lambda: local.running == 0)
+    assert backend.broken == []
+
+
+async def test_request_for_a_server_that_is_gone_is_refused_unsent(local, backend):
+    """Guards against repeats that reach a server and are rejected there.
+
+    Seen after a loss of power: requests went to the ids of ended servers and used up the
+    budget for repeats.
+    """
+    backend.server_id = "b"
+    await asyncio.sleep(0.25)
+    found = await local.run(_request(server_id="old"))
+    assert found.reason == "other-server"
+    assert backend.headers == []
+    assert (await local.run(_request(server_id="b"))).status == 200
+
+
+async def test_server_that_rejects_the_id_is_a_refusal(local, backend):
+    """Guards against taking a misdirected request for one that has run."""
+    backend.server_id = "b"
+    found = await local.run(_request(server_id="a"))
+    assert found.reason == "misdirected"
+
+
+async def test_unreachable_server_is_a_refusal(local, backend):
+    """Guards against an unknown outcome where nothing was sent."""
+    local.apply(server_id="a", slots=4, health_path="")
+    backend.stop()
+    found = await local.run(_request())
+    assert found.reason == "server-down"
+
+
+@pytest.mark.parametrize(
+    ("reply", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n", "answer-unsigned"),
+        (b"garbage\r\n\r\n", "answer-broken"),
+        (b"HTTP/1.1 503 No\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", None),
+    ],
+)
+async def test_only_a_signed_whole_answer_is_passed_on(local, backend, reply, reason):
+    """Guards against spoilt answers that reach a caller as a success."""
+    backend.reply["1"] = reply
+    found = await local.run(_request())
+    if reason is None:
+        assert isinstance(found, frames.Refusal)
+    else:
+        assert isinstance(found, frames.Unknown)
+        assert found.reason == reason
+
+
+async def test_hopeless_request_is_refused_at_once(local, backend):
+    """Guards against holding a request that cannot be answered in time."""
+    for index in range(20):
+        backend.gate.clear()
+        task = asyncio.create_task(local.run(_request(str(index))))
+        await _until(lambda: len(backend.runs) > index)  # noqa: B023
+        await asyncio.sleep(0.02)
+        backend.gate.set()
+        await task
+    found = await local.run(_request(left_s=0.005))
+    assert found.reason == "deadline"
+
+
+async def test_unrepeatable_request_gets_a_fresh_connection(local, backend):
+    """Guards against losing a booking on a connection that the server has forgotten."""
+    local.apply(server_id="a", slots=conftest.SLOTS, health_path="")
+    await local.run(_request("0"))
+    opened = local.connections_opened
+    await asyncio.sleep(0.4)
+    await local.run(_request("1", idempotent=False))
+    assert local.connections_opened == opened + 1
