--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -50,6 +50,10 @@
 _CALLER_MEMORY_S = 2.0
 """Nodes that called the server beside this node this recently get its load reports."""
 
+_MAX_REPORT_TARGETS = 12
+"""The callers of the last moment; reports to all nodes of a large fleet cost more than the
+calls that they improve."""
+
 _STOP_LISTENING_S = 2.3
 """Two readiness checks a second apart have to fail before callers stay away."""
 
@@ -183,6 +187,7 @@
             loop.create_task(self._sync.run()),
             loop.create_task(self._send_beacons()),
             loop.create_task(self._sweep()),
+            loop.create_task(self._peers.run()),
         ]
         gc.collect()
         gc.freeze()
@@ -360,7 +365,7 @@
             return
         self._reported_s = now
         report = frames.Report(self._local.report())
-        for ip in self._listener.recent_callers(_CALLER_MEMORY_S):
+        for ip in self._listener.recent_callers(_CALLER_MEMORY_S)[-_MAX_REPORT_TARGETS:]:
             self._gossip.send((ip, self._settings.peer_port), report)
 
     async def _sweep(self) -> None:
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -1,7 +1,6 @@
 """The stream to one other node and the calls that wait on it."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -10,7 +9,7 @@
 _CONNECT_TIMEOUT_S = 0.6
 """A VM in another zone answers within 3 ms; a lost opening packet is sent again after 1 s."""
 
-_PING_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.2
 _SILENCE_S = 0.6
 """A stream without any byte for this long although pings went out is replaced. Streams may
 go silent without a reset while new ones work."""
@@ -63,7 +62,6 @@
         self._link: link.Link | None = None
         self._waiting_by_id: dict[int, _Waiting] = {}
         self._task: asyncio.Task[None] | None = None
-        self._wake = asyncio.Event()
         self._used_s = clock.now()
         self._pinged_s = 0.0
         self._pull_revision: int | None = None
@@ -88,7 +86,7 @@
         self._waiting_by_id[frame.call_id] = waiting
         self._used_s = clock.now()
         self._transmit(waiting)
-        self._ensure_running()
+        self._ensure_connected()
         try:
             async with asyncio.timeout(timeout_s):
                 return await future
@@ -110,7 +108,7 @@
             self._link.send(frames.Pull(revision))
             return
         self._pull_revision = revision
-        self._ensure_running()
+        self._ensure_connected()
 
     async def close(self) -> None:
         """Ends the stream."""
@@ -121,31 +119,49 @@
         if self._link is not None:
             self._link.close()
 
+    def check(self) -> None:
+        """Replaces a silent stream and closes an unused one; called every `CHECK_INTERVAL_S`.
+
+        One loop checks all peers: a timer for each of them costs a large fleet more
+        processor time than its calls do.
+        """
+        current = self._link
+        if current is None:
+            if self._waiting_by_id:
+                self._ensure_connected()
+            return
+        now = clock.now()
+        if not self._waiting_by_id:
+            if now - self._used_s > _IDLE_S:
+                self._link = None
+                current.close()
+            return
+        silent_s = now - current.heard_s
+        if silent_s > _SILENCE_S and now - self._pinged_s < _SILENCE_S:
+            self._link = None
+            current.abort()
+            self._ensure_connected()
+        elif silent_s > CHECK_INTERVAL_S / 2:
+            self._pinged_s = now
+            current.send(frames.Ping())
+
     # internals
 
-    def _ensure_running(self) -> None:
-        if self._closed:
+    def _ensure_connected(self) -> None:
+        if self._closed or self._link is not None:
             return
         if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
-        self._wake.set()
-
-    async def _run(self) -> None:
-        """Keeps a stream while there is use for it."""
-        while self._waiting_by_id or clock.now() - self._used_s < _IDLE_S:
-            if self._link is None and not await self._connect():
-                await asyncio.sleep(_RETRY_CONNECT_S)
-                if not self._waiting_by_id and self._pull_revision is None:
-                    return
-                continue
-            self._check_silence()
-            self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_PING_INTERVAL_S if self._waiting_by_id else 1.0):
-                    await self._wake.wait()
-        if self._link is not None:
-            self._link.close()
-            self._link = None
+            self._task = asyncio.get_running_loop().create_task(self._keep_connecting())
+
+    async def _keep_connecting(self) -> None:
+        """Tries to connect as long as something waits for the stream."""
+        while self._waiting_by_id or self._pull_revision is not None:
+            if await self._connect():
+                return
+            if not self._waiting_by_id:
+                # The next beacon asks again.
+                self._pull_revision = None
+            await asyncio.sleep(_RETRY_CONNECT_S)
 
     async def _connect(self) -> bool:
         host, _, port = self.address.rpartition(":")
@@ -220,24 +236,10 @@
         if waiting.sent_to is not None and self._link is not None:
             self._link.send(frames.Cancel(waiting.frame.call_id))
 
-    def _check_silence(self) -> None:
-        current = self._link
-        if current is None or not self._waiting_by_id:
-            return
-        now = clock.now()
-        silent_s = now - current.heard_s
-        if silent_s > _SILENCE_S and now - self._pinged_s < _SILENCE_S:
-            self._link = None
-            current.abort()
-            self._wake.set()
-        elif silent_s > _PING_INTERVAL_S / 2:
-            self._pinged_s = now
-            current.send(frames.Ping())
-
     def _lose(self, ended: link.Link) -> None:
         if ended is self._link:
             self._link = None
-            self._ensure_running()
+            self._ensure_connected()
 
     def _take(self, found: link.Link, frame: Any) -> None:
         if isinstance(frame, frames.Answer | frames.Refusal | frames.Unknown):
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -70,7 +70,10 @@
         return self._running
 
     def recent_callers(self, within_s: float) -> list[str]:
-        """Returns the addresses of the nodes that sent a call within some seconds."""
+        """Returns the addresses of the nodes that sent a call within some seconds.
+
+        The one that called last comes last.
+        """
         now = clock.now()
         for ip, called_s in list(self._called_s_by_ip.items()):
             if now - called_s > within_s:
@@ -129,6 +132,7 @@
         elif found.peer_incarnation is None:
             found.abort()
         elif isinstance(frame, frames.Request):
+            self._called_s_by_ip.pop(found.peer_ip, None)
             self._called_s_by_ip[found.peer_ip] = found.heard_s
             self._serve((found.peer_incarnation, frame.call_id), frame)
         elif isinstance(frame, frames.Cancel):
--- a/packages/mesh/src/laburnumford_mesh/peers.py
+++ b/packages/mesh/src/laburnumford_mesh/peers.py
@@ -81,6 +81,13 @@
         ordered = sorted(known)
         return self._generator.sample(ordered, min(count, len(ordered)))
 
+    async def run(self) -> None:
+        """Checks all streams until it is cancelled."""
+        while True:
+            await asyncio.sleep(peer.CHECK_INTERVAL_S)
+            for each in self._peer_by_ip.values():
+                each.check()
+
     async def close(self) -> None:
         """Ends all streams."""
         await asyncio.gather(*(each.close() for each in self._peer_by_ip.values()))
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+from typing import Any
 
 import pytest
 
@@ -63,13 +64,14 @@
         self.work_s = 0.0
         self.health_checks = 0
         self.address = ""
-        self._server = None
+        self._server: Any = None
 
     async def start(self, address="127.0.0.1:0"):
         """Listens."""
         host, _, port = address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()
+        bound = self._server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
 
     def stop(self):
         """Stops listening."""
@@ -250,7 +252,7 @@
         self._objects[key] = decoded
         self.store.put(key, None if decoded is None else key.encode())
 
-    def _decode(self, log):
+    def _decode(self, _log):
         return lambda found: self._objects.get(found.key)
 
     async def add(self, index):
@@ -260,27 +262,24 @@
         await backend.start(f"{ip}:0")
         self.backends.append(backend)
         self.publish(f"servers/{index}", make_entry(backend.server_id, backend.address))
+        own = settings.MeshSettings(
+            node=f"node-{index}",
+            ip=ip,
+            zone="z",
+            service="s",
+            server_address=backend.address,
+            edge_address=f"{ip}:17000",
+            ready_address=f"{ip}:17001",
+            peer_port=self.PEER_PORT,
+            metrics_address=f"{ip}:17002",
+            store_address="",
+            memory_bytes=100_000_000,
+            max_connections=100,
+            grace_s=3.0,
+            repeat_budget=settings.RepeatBudgetSettings(ratio=0.2, slack=60, window_s=10),
+        )
         made = node.Node(
-            own=settings.MeshSettings(
-                node=f"node-{index}",
-                ip=ip,
-                zone="z",
-                service="s",
-                server_address=backend.address,
-                edge_address=f"{ip}:17000",
-                ready_address=f"{ip}:17001",
-                peer_port=self.PEER_PORT,
-                metrics_address=f"{ip}:17002",
-                store_address="",
-                memory_bytes=100_000_000,
-                max_connections=100,
-                grace_s=3.0,
-                repeat_budget=settings.RepeatBudgetSettings(ratio=0.2, slack=60, window_s=10),
-            ),
-            names=NAMES,
-            source=self.store,
-            decode=self._decode,
-            reload=lambda: None,
+            own=own, names=NAMES, source=self.store, decode=self._decode, reload=lambda: own
         )
         self.nodes.append(made)
         self._tasks.append(asyncio.create_task(made.run()))
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 
 import pytest
 
@@ -31,7 +32,7 @@
 
 
 def _request(request_id="1", **changes):
-    values = {
+    values: dict[str, Any] = {
         "call_id": next(CALL),
         "server_id": "a",
         "method": b"GET",
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -0,0 +1,173 @@
+"""Tests of calls between nodes over streams that break."""
+
+import asyncio
+import itertools
+from typing import Any
+
+import pytest
+
+from laburnumford_mesh import errors, frames, peer, peer_listener
+from laburnumford_testkit import faultproxy
+
+LOAD = frames.LoadReport("a", 1, 0, 0, 4, 1.0, 0.0, 0.0)
+CALL_IDS = itertools.count(1)
+
+
+class Receiver:
+    """A listener that counts the runs of each call."""
+
+    def __init__(self):
+        self.runs = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.port = 0
+        self.listener: Any = None
+
+    async def start(self, incarnation=7, port=0):
+        """Listens."""
+        self.listener = peer_listener.PeerListener(
+            address=f"127.0.0.1:{port}",
+            incarnation=incarnation,
+            run=self.run,
+            values_since=lambda revision: frames.Values(revision, 0.0, False, b""),
+        )
+        await self.listener.start()
+        self.port = self.listener.port
+
+    async def run(self, request):
+        """Answers with the call's number."""
+        self.runs.append(request.call_id)
+        await self.gate.wait()
+        return frames.Answer(request.call_id, 200, b"OK", [], b"x", 0.0, LOAD)
+
+
+@pytest.fixture
+async def receiver():
+    """Returns a started receiver."""
+    made = Receiver()
+    await made.start()
+    yield made
+    await made.listener.close()
+
+
+class Sender:
+    """A peer and the loop that checks it."""
+
+    def __init__(self, port):
+        self.peer = peer.Peer(
+            address=f"127.0.0.1:{port}",
+            incarnation=1,
+            on_values=lambda ip, values: None,
+            on_goodbye=lambda ip: None,
+        )
+        self._task = asyncio.create_task(self._check())
+
+    async def _check(self):
+        while True:
+            await asyncio.sleep(0.05)
+            self.peer.check()
+
+    def call(self, timeout_s=5.0, **changes):
+        """Starts a call."""
+        values: dict[str, Any] = {
+            "call_id": next(CALL_IDS),
+            "server_id": "a",
+            "method": b"GET",
+            "target": b"/",
+            "fields": [],
+            "body": b"",
+            "left_s": timeout_s,
+            "aim_left_s": timeout_s,
+            "idempotent": False,
+            "priority": 0,
+            "work_key": "k",
+            "expects_slow": False,
+        }
+        frame = frames.Request(**(values | changes))
+        return asyncio.create_task(self.peer.call(frame, timeout_s))
+
+    async def close(self):
+        """Ends the stream."""
+        self._task.cancel()
+        await self.peer.close()
+
+
+async def _until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_call_is_answered(receiver):
+    """Guards against streams that do not open."""
+    sender = Sender(receiver.port)
+    assert (await sender.call()).body == b"x"
+    await sender.close()
+
+
+async def test_call_runs_once_although_its_stream_breaks(receiver):
+    """Guards against a booking that runs twice, or is lost, when a stream is reset."""
+    sender = Sender(receiver.port)
+    receiver.gate.clear()
+    calls = [sender.call() for _ in range(5)]
+    await _until(lambda: len(receiver.runs) == 5)
+    for _ in range(3):
+        sender.peer.drop_stream()
+        await asyncio.sleep(0.1)
+    receiver.gate.set()
+    results = await asyncio.gather(*calls)
+    assert all(found.status == 200 for found in results)
+    assert len(receiver.runs) == 5
+    await sender.close()
+
+
+async def test_silent_stream_is_replaced(receiver):
+    """Guards against calls that wait on a stream which went silent without a reset."""
+    proxy = faultproxy.FaultProxy(target=("127.0.0.1", receiver.port))
+    await proxy.start()
+    sender = Sender(proxy.address[1])
+    receiver.gate.clear()
+    call = sender.call()
+    await _until(lambda: receiver.runs)
+    proxy.faults = faultproxy.Faults(silent=True)
+    await asyncio.sleep(0.9)
+    proxy.faults = faultproxy.Faults()
+    receiver.gate.set()
+    assert (await call).status == 200
+    assert len(receiver.runs) == 1
+    await sender.close()
+    await proxy.stop()
+
+
+async def test_restarted_node_leaves_the_outcome_unknown(receiver):
+    """Guards against sending a call again to a node that has forgotten that it ran."""
+    sender = Sender(receiver.port)
+    receiver.gate.clear()
+    call = sender.call()
+    await _until(lambda: receiver.runs)
+    port = receiver.port
+    await receiver.listener.close()
+    await receiver.start(incarnation=8, port=port)
+    with pytest.raises(errors.UnknownOutcomeError):
+        await call
+    assert len(receiver.runs) == 1
+    await sender.close()
+
+
+async def test_unreachable_node_is_a_refusal():
+    """Guards against an unknown outcome where nothing was sent."""
+    sender = Sender(1)
+    with pytest.raises(errors.RefusedError):
+        await sender.call(timeout_s=1.0)
+    await sender.close()
+
+
+async def test_cancelled_call_is_cancelled_at_the_other_node(receiver):
+    """Guards against work for a caller that has left."""
+    sender = Sender(receiver.port)
+    receiver.gate.clear()
+    call = sender.call()
+    await _until(lambda: receiver.runs)
+    call.cancel()
+    await _until(lambda: receiver.listener.in_work == 0)
+    await sender.close()
--- a/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
@@ -17,7 +17,7 @@
         self.live = {}
         self.log = []
         self.nodes = [record_set.RecordSet(), record_set.RecordSet()]
-        self.seen = [{}, {}]
+        self.seen: list[dict[str, int]] = [{}, {}]
 
     @stateful.rule(key=KEYS, removed=strategies.booleans())
     def write(self, key, removed):
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -9,7 +9,6 @@
 import dataclasses
 from collections.abc import Callable
 
-
 _WAIT_MARGIN = 2.0
 """Slow spells and requests of a higher rank stretch the wait. At saturation the queue is as
 long as it is allowed to be, and without a margin half of its requests end late."""
