--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -153,6 +153,10 @@
         self._reported_s = 0.0
         self._reader = False
 
+    def server_count(self, service: str) -> int:
+        """Returns how many servers of a service may get requests."""
+        return sum(entry.service == service for entry in self._directory.usable())
+
     def request_stop(self) -> None:
         """Asks `run` to end; safe as a signal handler of the event loop."""
         self._stop.set()
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -110,6 +110,11 @@
         self._pull_revision = revision
         self._ensure_connected()
 
+    def drop_stream(self) -> None:
+        """Ends the stream at once; calls that wait are sent again on a new one."""
+        if self._link is not None:
+            self._link.abort()
+
     async def close(self) -> None:
         """Ends the stream."""
         self._closed = True
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -69,6 +69,13 @@
         """Calls that have no answer yet."""
         return self._running
 
+    @property
+    def port(self) -> int:
+        """The port that the listener is bound to."""
+        if self._server is None:
+            raise RuntimeError("the listener is not started")
+        return int(self._server.sockets[0].getsockname()[1])
+
     def recent_callers(self, within_s: float) -> list[str]:
         """Returns the addresses of the nodes that sent a call within some seconds.
 
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -0,0 +1,164 @@
+"""Tests of whole nodes in one process: request path, discovery, configuration and stop."""
+
+import asyncio
+
+import pytest
+
+from laburnumford_mesh.tests import conftest
+
+
+async def _until(condition):
+    async with asyncio.timeout(8):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def pair(fleet):
+    """Returns a fleet of two nodes that are ready, and their addresses."""
+    addresses = [await fleet.add(index) for index in range(2)]
+    for address in addresses:
+        await fleet.ready(address)
+    await _until(lambda: all(made.server_count("s") == 2 for made in fleet.nodes))
+    return fleet, addresses
+
+
+async def test_request_reaches_a_server_with_the_fields_that_it_expects(pair):
+    """Guards against a wrong caller, a longer timeout or a wrong target at the server."""
+    fleet, (ip, _) = pair
+    more = "X-Timeout: 700\r\nX-Caller: forged\r\nX-Target: forged\r\n"
+    status, values, body = await fleet.request(ip, "GET", "/get/1", "id-1", more=more)
+    assert (status, body) == (200, b"ok")
+    assert values["x-signature"].startswith("server-")
+    (seen,) = [head for backend in fleet.backends for head in backend.headers]
+    assert seen["x-caller"] == "s"
+    assert seen["x-id"] == "id-1"
+    assert 0 < int(seen["x-timeout"]) <= 700
+
+
+async def test_unknown_route_is_not_found(pair):
+    """Guards against an answer that is no promise where the route does not exist."""
+    fleet, (ip, _) = pair
+    assert (await fleet.request(ip, "GET", "/none/1", "1"))[0] == 404
+
+
+async def test_node_without_configuration_refuses(fleet):
+    """Guards against 404 from a node that knows nothing yet."""
+    fleet.store.down = True
+    ip = await fleet.add(0)
+
+    async def answered():
+        try:
+            return (await fleet.request(ip, "GET", "/get/1", "1"))[:2]
+        except OSError:
+            return None
+
+    async with asyncio.timeout(5):
+        while (found := await answered()) is None:
+            await asyncio.sleep(0.02)
+    assert found[0] == 503
+    assert float(found[1]["retry-after"]) > 0
+
+
+async def test_other_server_is_used_when_one_is_gone(pair):
+    """Guards against requests that fail while another server could run them."""
+    fleet, addresses = pair
+    fleet.backends[0].stop()
+    for index in range(6):
+        for ip in addresses:
+            assert (await fleet.request(ip, "POST", "/post/1", f"{ip}-{index}"))[0] == 200
+    assert len(fleet.backends[1].runs) == 12
+
+
+async def test_failed_answer_is_repeated_only_where_that_is_allowed(pair):
+    """Guards against a booking that runs twice, and against lookups that fail needlessly."""
+    fleet, (ip, _) = pair
+    fleet.backends[0].status = 500
+    statuses = [(await fleet.request(ip, "GET", "/get/1", f"g{i}"))[0] for i in range(10)]
+    assert statuses == [200] * 10
+    for index in range(10):
+        await fleet.request(ip, "POST", "/post/1", f"p{index}")
+    runs = [run for backend in fleet.backends for run in backend.runs if run.startswith("p")]
+    assert len(runs) == len(set(runs)) == 10
+
+
+async def test_lost_answer_of_a_booking_is_not_repeated(pair):
+    """Guards against two runs of one booking after an answer was lost."""
+    fleet, (ip, _) = pair
+    for backend in fleet.backends:
+        backend.reply["1"] = b"nonsense\r\n\r\n"
+    status, _, _ = await fleet.request(ip, "POST", "/post/1", "1")
+    assert status == 502
+    assert sum(len(backend.runs) for backend in fleet.backends) == 1
+
+
+async def test_published_change_reaches_all_nodes(pair):
+    """Guards against nodes that keep an old version or a server that leaves."""
+    fleet, addresses = pair
+    fleet.publish("op/config", conftest.make_configuration(2, prefix="/new/"))
+    for ip in addresses:
+        async with asyncio.timeout(2):
+            while (await fleet.request(ip, "GET", "/new/get/1", f"c{ip}"))[0] != 200:
+                await asyncio.sleep(0.02)
+    leaving = fleet.backends[0]
+    fleet.publish("servers/0", conftest.make_entry("server-0", leaving.address, draining=True))
+    await _until(lambda: all(made.server_count("s") == 1 for made in fleet.nodes))
+    leaving.runs.clear()
+    for ip in addresses:
+        assert (await fleet.request(ip, "GET", "/new/get/1", f"d{ip}"))[0] == 200
+    assert leaving.runs == []
+
+
+async def test_nodes_serve_while_the_store_is_down(pair):
+    """Guards against an outage of the store that stops requests."""
+    fleet, addresses = pair
+    fleet.store.down = True
+    await asyncio.sleep(1.5)
+    for ip in addresses:
+        assert (await fleet.request(ip, "GET", "/get/1", f"x{ip}"))[0] == 200
+
+
+async def test_started_node_learns_from_others_while_the_store_is_down(pair):
+    """Guards against a node that cannot start again during an outage of the store."""
+    fleet, _ = pair
+    fleet.publish("servers/2", conftest.make_entry("server-2", f"{fleet.ip(2)}:1"))
+    await _until(lambda: all(made.server_count("s") == 3 for made in fleet.nodes))
+    fleet.store.down = True
+    await fleet.ready(await fleet.add(2))
+
+
+async def test_timeout_of_the_route_gets_a_final_answer(pair):
+    """Guards against requests that hang beyond the published timeout."""
+    fleet, (ip, _) = pair
+    for backend in fleet.backends:
+        backend.gate.clear()
+    status, _, _ = await fleet.request(ip, "POST", "/post/1", "1", more="X-Timeout: 200\r\n")
+    assert status == 504
+
+
+async def test_stopping_node_answers_what_it_has_read(pair):
+    """Guards against a planned stop that cuts a request in flight."""
+    fleet, (ip, other) = pair
+    for backend in fleet.backends:
+        backend.gate.clear()
+    request = asyncio.create_task(fleet.request(ip, "POST", "/post/1", "1"))
+    await _until(lambda: any(backend.runs for backend in fleet.backends))
+    fleet.nodes[0].request_stop()
+    await asyncio.sleep(0.2)
+    assert (await fleet.request(ip, "GET", "/", "r", port=17001))[0] == 503
+    for backend in fleet.backends:
+        backend.gate.set()
+    assert (await request)[0] == 200
+    fleet.backends[0].runs.clear()
+    for index in range(5):
+        assert (await fleet.request(other, "GET", "/get/1", f"s{index}"))[0] == 200
+    assert fleet.backends[0].runs == []
+
+
+async def test_metrics_page_counts_answers(pair):
+    """Guards against a metrics page that shows nothing of the requests."""
+    fleet, (ip, _) = pair
+    await fleet.request(ip, "GET", "/get/1", "1")
+    _, _, text = await fleet.request(ip, "GET", "/metrics", "m", port=17002)
+    assert b'laburnumford_answers_total{kind="200"} 1' in text
+    assert b"laburnumford_answer_seconds" in text
