Lower the limit only where a server has shown a knee

Change: the limit is all slots until the low quantile of run times shows that the last slots cost more than they add; looked for again after 8 s.

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -11,7 +11,7 @@
 from laburnumford_mesh.http import server_connection
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
-from laburnumford_policy.placement import start_policy, work_queue
+from laburnumford_policy.placement import knee_limit, start_policy, work_queue
 
 _CONNECT_TIMEOUT_S = 0.5
 _ANY_IDLE_S = math.inf
@@ -83,7 +83,7 @@
         self._down_until_s = -math.inf
         self.server_id = ""
         self._confirmed_s = -math.inf
-        self.slots = 1
+        self._knee = knee_limit.KneeLimit(slots=1)
         self.running = 0
         self.leaving = False
         self.runs_count = 0
@@ -102,14 +102,14 @@
     @property
     def limit(self) -> int:
         """Requests that run at the same time."""
-        return max(self.slots * 8 // 10, 1)
+        return self._knee.limit(clock.now())
 
     def apply(self, *, server_id: str, slots: int, health_path: str) -> None:
         """Takes over the server's entry and the health path of its service."""
         self._health_path = health_path
         if not self._is_confirmed():
             self.server_id = server_id
-        self.slots = max(slots, 1)
+        self._set_slots(max(slots, 1))
         self._start_waiting()
 
     def report(self) -> frames.LoadReport:
@@ -231,6 +231,7 @@
         connection: server_connection.ServerConnection | None = None
         sent_s = clock.now()
         slowness = self._slowness
+        running = self.running
         try:
             max_idle_s = _ANY_IDLE_S if request.idempotent else _UNREPEATABLE_IDLE_S
             try:
@@ -250,7 +251,12 @@
                     fields.get(request.fields, self._names.request_id),
                 )
             self.runs_count += 1
-            return self._judge(request, answer, clock.now() - sent_s, slowness)
+            work_s = clock.now() - sent_s
+            if answer.status < 300 and slowness <= start_policy.SLOW_FACTOR:
+                self._knee.observe(
+                    now=sent_s + work_s, running=running, work_key=request.work_key, work_s=work_s
+                )
+            return self._judge(request, answer, work_s, slowness)
         except TimeoutError:
             self._close(connection)
             return frames.Unknown(request.call_id, "server-timeout", self.report())
@@ -323,10 +329,14 @@
         self._slowness_at_s = clock.now()
         if load.slowness <= start_policy.SLOW_FACTOR:
             self._undisturbed_s = self._slowness_at_s
-        self.slots = load.slots
+        self._set_slots(load.slots)
         if changed:
             self._on_load_change()
 
+    def _set_slots(self, slots: int) -> None:
+        if slots != self._knee.slots:
+            self._knee = knee_limit.KneeLimit(slots=slots)
+
     def _observe_work(self, work_key: str, work_s: float) -> None:
         known = self._work_s_by_key.get(work_key, work_s)
         self._work_s_by_key[work_key] = known + _WORK_WEIGHT * (work_s - known)
