--- a/packages/testkit/src/laburnumford_testkit/faultproxy/proxy.py
+++ b/packages/testkit/src/laburnumford_testkit/faultproxy/proxy.py
@@ -90,6 +90,13 @@
         self.address = f"{self._host}:{bound.getsockname()[1]}"
         self._listener = await asyncio.start_server(self._accept, sock=bound, backlog=512)
 
+    async def reset_connections(self) -> None:
+        """Ends all open connections and goes on listening."""
+        open_now = list(self._tasks)
+        for task in open_now:
+            task.cancel()
+        await asyncio.gather(*open_now, return_exceptions=True)
+
     async def close(self) -> None:
         """Stops to listen and closes all connections."""
         if self._listener is not None:
