--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -57,6 +57,10 @@
 _STOP_LISTENING_S = 2.3
 """Two readiness checks a second apart have to fail before callers stay away."""
 
+_SERVE_ON_S = 1.5
+"""A stopping node goes on relaying to the server beside it for this long: in a rolling restart
+of the nodes that server is well, and without it the others carry its load."""
+
 _STOP_MARGIN_S = 0.5
 _GOODBYE_BLOCK_S = 8.0
 _SUSPECT_BLOCK_S = 0.3
@@ -202,11 +206,12 @@
         """Turns callers away, ends the work in flight and closes everything."""
         started_s = clock.now()
         self._log.write("stopping", in_work=self._edge_server.in_work)
-        self._listener.say_goodbye(self._local.server_id)
-        self._local.leaving = True
         until_s = started_s + max(self._settings.grace_s - _STOP_MARGIN_S, 0.5)
         while (now := clock.now()) < until_s:
             self._edge_server.begin_drain()
+            if now - started_s >= _SERVE_ON_S and not self._local.leaving:
+                self._local.leaving = True
+                self._listener.say_goodbye(self._local.server_id)
             quiet = self._edge_server.quiet() and not self._listener.in_work
             if quiet and now - started_s >= _STOP_LISTENING_S:
                 break
