--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 BENCH ?= path
 WORKERS ?= 4
+SEED ?= 1
+RUNS ?= 1
 
-.PHONY: env format lint test demo bench controls scenarios
+.PHONY: env format lint test demo bench controls scenarios soak
 
 env: $(VENV)/installed
 
@@ -39,3 +41,6 @@
 
 scenarios: env
 	$(BIN)/python -m laburnumford_testkit.scenario --workers 2 scenarios
+
+soak: env
+	PYTHONPATH=platform $(BIN)/python -m laburnumford_soak --seed $(SEED) --runs $(RUNS)
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -332,10 +332,11 @@
             "id": ongoing.request_id,
             "server": view.server_id,
             "ms": round(took_s * 1000, 1),
-            "load": [result.load.running, result.load.waiting, result.load.limit],
-            "slowness": result.load.slowness,
-            "slowness_age_s": round(result.load.slowness_age_s, 3),
         }
+        if result.load.server_id == view.server_id:
+            values["load"] = [result.load.running, result.load.waiting, result.load.limit]
+            values["slowness"] = result.load.slowness
+            values["slowness_age_s"] = round(result.load.slowness_age_s, 3)
         if isinstance(result, frames.Answer):
             values["status"] = result.status
             values["work_ms"] = round(result.work_s * 1000, 1)
