--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -149,7 +149,7 @@
     for backend in fleet.backends:
         backend.gate.set()
     assert (await request)[0] == 200
-    answered = []
+    answered: list[int] = []
     ends_s = asyncio.get_running_loop().time() + 3.0
     while asyncio.get_running_loop().time() < ends_s:
         answered.append((await fleet.request(other, "POST", "/post/1", f"s{len(answered)}"))[0])
