--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -1,7 +1,6 @@
 """One outgoing HTTP connection, to a backend server or to the store."""
 
 import asyncio
-import collections
 from typing import cast
 
 import httptools
@@ -231,71 +230,3 @@
             self._waiter.set_exception(error)
             # An exchange that was cancelled never asks for the answer.
             self._waiter.exception()
-
-
-class ServerPool:
-    """Keeps the idle connections to one address.
-
-    Args:
-        address: ``ip:port``.
-        id_field: see `ServerConnection`.
-        connect_timeout_s: limit for opening a connection.
-    """
-
-    def __init__(self, *, address: str, id_field: bytes | None, connect_timeout_s: float) -> None:
-        self._address = address
-        self._id_field = id_field
-        self._connect_timeout_s = connect_timeout_s
-        self._idle: collections.deque[ServerConnection] = collections.deque()
-        self.opened_count = 0
-
-    async def acquire(self, max_idle_s: float) -> ServerConnection:
-        """Returns a connection that was idle for at most `max_idle_s`, or opens one.
-
-        Raises:
-            ConnectError: no connection could be opened.
-        """
-        now = clock.now()
-        while self._idle:
-            connection = self._idle[-1]
-            if not connection.reusable:
-                self._idle.pop().close()
-                continue
-            if connection.is_fresh(now, max_idle_s):
-                return self._idle.pop()
-            break
-        return await self._open()
-
-    def release(self, connection: ServerConnection) -> None:
-        """Takes a connection back, or closes it if it cannot be reused."""
-        if connection.reusable:
-            self._idle.append(connection)
-        else:
-            connection.close()
-
-    def sweep(self) -> None:
-        """Closes idle connections that the server is about to close."""
-        now = clock.now()
-        while self._idle:
-            connection = self._idle[0]
-            if connection.reusable and connection.is_fresh(now, float("inf")):
-                return
-            self._idle.popleft().close()
-
-    def close(self) -> None:
-        """Closes all idle connections."""
-        while self._idle:
-            self._idle.popleft().close()
-
-    async def _open(self) -> ServerConnection:
-        host, _, port = self._address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: ServerConnection(id_field=self._id_field), host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
-            raise errors.ConnectError(f"cannot connect to {self._address}: {error!r}") from error
-        self.opened_count += 1
-        return connection
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/http/server_pool.py
@@ -0,0 +1,78 @@
+"""Idle connections to one server."""
+
+import asyncio
+import collections
+
+from laburnumford_mesh import clock
+from laburnumford_mesh.http import server_connection
+from laburnumford_node.http import errors
+
+
+class ServerPool:
+    """Keeps the idle connections to one address.
+
+    Args:
+        address: ``ip:port``.
+        id_field: see `server_connection.ServerConnection`.
+        connect_timeout_s: limit for opening a connection.
+    """
+
+    def __init__(self, *, address: str, id_field: bytes | None, connect_timeout_s: float) -> None:
+        self._address = address
+        self._id_field = id_field
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: collections.deque[server_connection.ServerConnection] = collections.deque()
+        self.opened_count = 0
+
+    async def acquire(self, max_idle_s: float) -> server_connection.ServerConnection:
+        """Returns a connection that was idle for at most `max_idle_s`, or opens one.
+
+        Raises:
+            ConnectError: no connection could be opened.
+        """
+        now = clock.now()
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.reusable:
+                self._idle.pop().close()
+                continue
+            if connection.is_fresh(now, max_idle_s):
+                return self._idle.pop()
+            break
+        return await self._open()
+
+    def release(self, connection: server_connection.ServerConnection) -> None:
+        """Takes a connection back, or closes it if it cannot be reused."""
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def sweep(self) -> None:
+        """Closes idle connections that the server is about to close."""
+        now = clock.now()
+        while self._idle:
+            connection = self._idle[0]
+            if connection.reusable and connection.is_fresh(now, float("inf")):
+                return
+            self._idle.popleft().close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            self._idle.popleft().close()
+
+    async def _open(self) -> server_connection.ServerConnection:
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: server_connection.ServerConnection(id_field=self._id_field),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError) as error:
+            raise errors.ConnectError(f"cannot connect to {self._address}: {error!r}") from error
+        self.opened_count += 1
+        return connection
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import server_connection
+from laburnumford_mesh.http import server_pool
 from laburnumford_node.http import errors
 
 ID = b"x-id"
@@ -66,7 +66,7 @@
 @pytest.fixture
 async def pool(server):
     """Returns a pool for the server."""
-    made = server_connection.ServerPool(
+    made = server_pool.ServerPool(
         address=f"127.0.0.1:{server.port}", id_field=ID, connect_timeout_s=1.0
     )
     yield made
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -6,9 +6,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from laburnumford_mesh import clock, errors, event_log, frames, load_header, wire_names
+from laburnumford_mesh import (
+    clock,
+    errors,
+    event_log,
+    frames,
+    load_header,
+    server_speed,
+    wire_names,
+)
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import server_connection
+from laburnumford_mesh.http import server_connection, server_pool
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import knee_limit, start_policy, work_queue
@@ -68,7 +76,7 @@
         self._names = names
         self._log = log
         self._on_load_change = on_load_change
-        self._pool = server_connection.ServerPool(
+        self._pool = server_pool.ServerPool(
             address=address, id_field=names.request_id, connect_timeout_s=_CONNECT_TIMEOUT_S
         )
         self._queue = work_queue.WorkQueue(work_s=self._expected_work_s)
@@ -78,13 +86,12 @@
         self._detached: set[asyncio.Task[Any]] = set()
         self._work_s_by_key: dict[str, float] = {}
         self._usual_work_s = 0.0
-        self._slowness = 1.0
-        self._slowness_at_s = -math.inf
-        self._undisturbed_s = clock.now()
+        self._speed = server_speed.ServerSpeed()
         self._health_path = ""
         self._probe: asyncio.Task[None] | None = None
         self._probed_s = -math.inf
         self._down_until_s = -math.inf
+        self._lost = False
         self.server_id = ""
         self._confirmed_s = -math.inf
         self._knee = knee_limit.KneeLimit(slots=1)
@@ -125,9 +132,9 @@
             self.running,
             len(self._queue),
             self.limit,
-            self._slowness,
-            min(now - self._slowness_at_s, 3600.0),
-            self._speed().slow_for_s,
+            self._speed.slowness,
+            self._speed.age_s(now),
+            self._speed.current().slow_for_s,
         )
 
     async def run(self, request: frames.Request) -> Any:
@@ -177,8 +184,8 @@
         work_s = self._expected_work_s(request.work_key)
         if started_s + work_s > deadline_s:
             raise errors.RefusedError("deadline")
-        speed = self._speed()
-        known = started_s - self._slowness_at_s < _SAMPLE_S
+        speed = self._speed.current()
+        known = self._speed.age_s(started_s) < _SAMPLE_S
         if known and speed.slow and not request.expects_slow:
             raise errors.RefusedError("slow")
         entry = work_queue.WaitingRequest(
@@ -245,7 +252,7 @@
     async def _exchange(self, request: frames.Request, deadline_s: float) -> Any:
         connection: server_connection.ServerConnection | None = None
         sent_s = clock.now()
-        slowness = self._slowness
+        slowness = self._speed.slowness
         running = self.running
         try:
             max_idle_s = _ANY_IDLE_S if request.idempotent else _UNREPEATABLE_IDLE_S
@@ -253,7 +260,9 @@
                 connection = await self._pool.acquire(max_idle_s)
             except http_errors.ConnectError:
                 self._down_until_s = clock.now() + _DOWN_S
-                self._log.write("server_down", server=request.server_id)
+                if not self._lost:
+                    self._lost = True
+                    self._log.write("server_lost", server=request.server_id)
                 return frames.Refusal(request.call_id, "server-down", 0.0, self.report())
             sent_s = clock.now()
             left_s = deadline_s - sent_s
@@ -266,6 +275,9 @@
                     fields.get(request.fields, self._names.request_id),
                 )
             self.runs_count += 1
+            if self._lost:
+                self._lost = False
+                self._log.write("server_regained", server=request.server_id)
             work_s = clock.now() - sent_s
             if answer.status < 300 and slowness <= start_policy.SLOW_FACTOR:
                 self._knee.observe(
@@ -339,11 +351,7 @@
         load = load_header.parse(value) if value is not None else None
         if load is None:
             return
-        changed = abs(load.slowness - self._slowness) > 0.3 * self._slowness
-        self._slowness = load.slowness
-        self._slowness_at_s = clock.now()
-        if load.slowness <= start_policy.SLOW_FACTOR:
-            self._undisturbed_s = self._slowness_at_s
+        changed = self._speed.observe(load.slowness)
         self._set_slots(load.slots)
         if changed:
             self._on_load_change()
@@ -361,11 +369,6 @@
     def _expected_work_s(self, work_key: str) -> float:
         return self._work_s_by_key.get(work_key, _DEFAULT_WORK_S)
 
-    def _speed(self) -> start_policy.Speed:
-        slow = self._slowness > start_policy.SLOW_FACTOR
-        slow_for_s = self._slowness_at_s - self._undisturbed_s if slow else 0.0
-        return start_policy.Speed(slowness=self._slowness, slow_for_s=max(slow_for_s, 0.0))
-
     def _end_run(self) -> None:
         self.running -= 1
         self._start_waiting()
@@ -376,10 +379,10 @@
         if not len(self._queue) or self.running >= self.limit:
             return
         now = clock.now()
-        if now - self._slowness_at_s > _SAMPLE_S and self._start_probe(now):
+        if self._speed.age_s(now) > _SAMPLE_S and self._start_probe(now):
             return
         held: list[work_queue.WaitingRequest] = []
-        speed = self._speed()
+        speed = self._speed.current()
         while self.running < self.limit:
             entry = self._queue.pop_next(now)
             if entry is None:
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -174,9 +174,8 @@
         except errors.MeshError as error:
             self._log.write("settings_rejected", error=str(error))
             return
-        if found != self._settings:
-            self._log.write("settings_changed", service=found.service)
-            self._settings = found
+        self._log.write("reload", changed=found != self._settings, service=found.service)
+        self._settings = found
 
     async def run(self) -> None:
         """Runs until a stop is requested and the work in flight has ended."""
