State unit and source of each constant; deal weights from a random start

Cause: constants without a line on their source; the start of the weighted split came from a hash. Change: a line for each constant, a generator for the split, an unused attribute removed.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -24,16 +24,25 @@
 """With less time left than this no server is asked any more."""
 
 _UNREACHABLE_BLOCK_S = 0.5
+"""Seconds; a lost opening packet of a connection is sent again after 1 s at most."""
+
 _LEAVING_BLOCK_S = 1.0
+"""Seconds; a stopping node is gone for longer, and its goodbye follows."""
+
 _DOWN_BLOCK_S = 0.3
+"""Seconds; as long as the server's own node takes it to be down."""
+
 _GONE_BLOCK_S = 5.0
 """Another server has the address; the entry of the one before it expires within seconds."""
 
 _DEFAULT_WORK_S = 0.05
+"""Seconds, until the first answer of a kind tells better."""
+
 _HEDGE_FACTOR = 2.0
 """A second server is asked when the first takes twice the time that was expected of it."""
 
 _HEDGE_FLOOR_S = 0.03
+"""Seconds; less than ten round trips between zones are no sign of a slow server."""
 
 _ARRIVED_REASONS = frozenset({"server-refused", "misdirected"})
 """Refusals by a server itself: the request reached it, which counts as an arrival."""
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable
 
 from laburnumford_mesh import (
@@ -28,6 +29,11 @@
 """Lets the answer that a server gives at the deadline arrive."""
 
 _MIN_RETRY_AFTER_S = 0.05
+"""Seconds; three round trips of 16 ms to a caller."""
+
+_MAX_SPLIT_OFFSET = 100
+"""Requests; nodes begin their rounds at different places, so that they do not deal in step."""
+
 _REASON_BY_STATUS = {
     404: b"Not Found",
     502: b"Bad Gateway",
@@ -47,6 +53,7 @@
         names: header field names.
         log: structured log.
         counters: metrics.
+        generator: source of random numbers.
     """
 
     def __init__(
@@ -59,7 +66,9 @@
         names: wire_names.WireNames,
         log: event_log.EventLog,
         counters: metrics.Metrics,
+        generator: random.Random,
     ) -> None:
+        self._generator = generator
         self._service = service
         self._current = current
         self._age_s = age_s
@@ -148,7 +157,7 @@
             split = weighted_split.WeightedSplit(
                 [each.name for each in found.services],
                 [each.weight for each in found.services],
-                offset=hash(self._names) % 97,
+                offset=self._generator.randrange(_MAX_SPLIT_OFFSET),
             )
             self._split_by_route[key] = split
         return split.choose()
--- a/packages/mesh/src/laburnumford_mesh/event_log.py
+++ b/packages/mesh/src/laburnumford_mesh/event_log.py
@@ -10,6 +10,8 @@
 from laburnumford_mesh import clock
 
 _BURST_LINES = 400
+"""Lines that may come at once; four seconds of the rate."""
+
 _LINES_PER_S = 100.0
 """A node answers some tens of requests a second; more lines than this cost processor time
 that requests need."""
--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -26,6 +26,8 @@
 """Bounds the requests that one connection has in work; more stay in the socket."""
 
 _MAX_FIELDS = 256
+"""Bounds the work of a header section besides its bytes."""
+
 _LINGER_S = 1.0
 """An answer to a request that was not read whole is lost if the close resets the connection."""
 
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -9,7 +9,11 @@
 from laburnumford_mesh.http import edge_connection
 
 _BACKLOG = 1024
+"""Connections; callers of a VM that was away come back in the same moment."""
+
 _SWEEP_INTERVAL_S = 0.5
+"""Seconds; header time-outs are whole seconds."""
+
 _IDLE_SLACK_S = 0.5
 """Callers may reuse a connection up to the published idle time; closing a little later
 keeps the close from crossing such a request."""
--- a/packages/mesh/src/laburnumford_mesh/load_header.py
+++ b/packages/mesh/src/laburnumford_mesh/load_header.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 _USUAL = 100.0
+"""The figure that means as usual, from the platform."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -22,6 +22,8 @@
 from laburnumford_policy.placement import knee_limit, start_policy, work_queue
 
 _CONNECT_TIMEOUT_S = 0.5
+"""Seconds; the server is on the same VM and takes 1 ms."""
+
 _ANY_IDLE_S = math.inf
 _UNREPEATABLE_IDLE_S = 0.3
 """A server may drop an idle connection without notice, and what is sent next is reset. A
@@ -29,7 +31,11 @@
 use a moment ago, or a new one."""
 
 _WORK_WEIGHT = 0.1
+"""Weight of one run in the mean: about the last ten count."""
+
 _DEFAULT_WORK_S = 0.05
+"""Seconds, until the first run of a kind tells better."""
+
 _SHORT_SHARE = 0.6
 """Work below this share of the server's mean is cheap to serve even if it is late."""
 
--- a/packages/mesh/src/laburnumford_mesh/metrics.py
+++ b/packages/mesh/src/laburnumford_mesh/metrics.py
@@ -5,9 +5,16 @@
 from hdrh import histogram
 
 _LOWEST_US = 100
+"""Microseconds; no answer over the network is faster."""
+
 _HIGHEST_US = 60_000_000
+"""Microseconds; longer than any published time-out."""
+
 _DIGITS = 2
+"""Two significant digits are 1 % and keep a histogram small."""
+
 _QUANTILES = (0.5, 0.9, 0.99, 0.999)
+"""Median and tail, as the targets name them."""
 
 
 class Metrics:
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -40,13 +40,21 @@
 """Nodes that read the store at all times; a second one covers the loss of the first."""
 
 _BEACON_INTERVAL_S = 0.2
+"""Seconds; with three peers each, news of a silent store reaches all in about a second."""
+
 _BEACON_PEERS = 3
+"""Peers told each time, whatever the size of the fleet."""
+
 _NEWS_PEERS = 4
 """Peers told at once of a change. Each of them tells as many, so that n nodes know after
 about log4(n) steps."""
 
 _SWEEP_INTERVAL_S = 0.025
+"""Seconds; held work looks for the end of a slow spell this often."""
+
 _REPORT_INTERVAL_S = 0.03
+"""Seconds; a fifth of the 150 ms between changes of speed."""
+
 _CALLER_MEMORY_S = 2.0
 """Nodes that called the server beside this node this recently get its load reports."""
 
@@ -62,10 +70,19 @@
 of the nodes that server is well, and without it the others carry its load."""
 
 _STOP_MARGIN_S = 0.5
+"""Seconds before the grace time ends, for closing what is left."""
+
 _GOODBYE_BLOCK_S = 8.0
+"""Seconds; longer than the grace time. The beacon of the next start ends it."""
+
 _SUSPECT_BLOCK_S = 0.3
+"""Seconds until the stream has been replaced or answers again."""
+
 _BODY_MEMORY_SHARE = 0.25
+"""Share of the memory; bodies are held by two nodes and in socket buffers."""
+
 _MIN_COMPRESS = 6
+"""Level of zlib; configurations are JSON and shrink to a tenth."""
 
 
 class Node:
@@ -144,6 +161,7 @@
             names=names,
             log=self._log,
             counters=self._metrics,
+            generator=self._generator,
         )
         self._listener = peer_listener.PeerListener(
             address=f"{own.ip}:{own.peer_port}",
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -10,6 +10,8 @@
 """A VM in another zone answers within 3 ms; a lost opening packet is sent again after 1 s."""
 
 CHECK_INTERVAL_S = 0.2
+"""Seconds between two looks at all streams."""
+
 _SILENCE_S = 0.35
 """A stream without any byte for this long after a ping is replaced. Streams may go silent
 without a reset while new ones work."""
@@ -24,6 +26,7 @@
 """Streams that carried no call for this long are closed."""
 
 _RETRY_CONNECT_S = 0.1
+"""Seconds between two tries to connect."""
 
 Result = frames.Answer | frames.Refusal | frames.Unknown
 
@@ -76,7 +79,6 @@
         self._pull_revision: int | None = None
         self._closed = False
         self.down_since_s: float | None = None
-        self.incarnation: int | None = None
 
     @property
     def unreachable(self) -> bool:
@@ -232,7 +234,6 @@
     def _resume(self, connected: link.Link) -> None:
         """Sends the waiting calls on a new stream."""
         incarnation = connected.peer_incarnation
-        self.incarnation = incarnation
         for waiting in list(self._waiting_by_id.values()):
             if waiting.sent_to not in (None, incarnation):
                 # The node that had the call is gone; its work may have been done.
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -12,9 +12,12 @@
 before its deadline, and bytes of a broken stream may arrive a little later."""
 
 _SWEEP_INTERVAL_S = 0.5
+"""Seconds between two looks at the remembered calls."""
+
 _MAX_KEPT_BYTES = 16 * 1024 * 1024
 """Answers above this total are forgotten first; the calls are still remembered."""
 _BACKLOG = 512
+"""Connections; all nodes of a fleet may come back in the same moment."""
 
 Runner = Callable[[frames.Request], Awaitable[Any]]
 """Runs a request and returns the frame that answers it."""
--- a/packages/mesh/src/laburnumford_mesh/server_speed.py
+++ b/packages/mesh/src/laburnumford_mesh/server_speed.py
@@ -9,6 +9,7 @@
 """Share by which the slowness has to change before others hear of it at once."""
 
 _LONGEST_AGE_S = 3600.0
+"""Seconds; stands for never in reports."""
 
 
 class ServerSpeed:
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -10,6 +10,7 @@
 """There and back between two availability zones of a region."""
 
 _OWN_ZONE_DISTANCE_S = 0.0003
+"""There and back inside an availability zone."""
 
 
 class ServiceState:
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -14,9 +14,17 @@
 published bound for changes is 2 s."""
 
 _STALE_JITTER_S = 0.4
+"""Seconds; keeps nodes that hear nothing from reading in the same moment."""
+
 _CHECK_S = 0.1
+"""Seconds between two looks at the age."""
+
 _FIRST_BACKOFF_S = 0.15
+"""Seconds; forty answers of the store."""
+
 _READER_BACKOFF_S = 0.6
+"""Seconds; keeps the bound of 2 s for changes after the return of the store."""
+
 _OTHER_BACKOFF_S = 1.2
 """Failing reads cost the store as much as others; a node that is no reader waits longer."""
 
--- a/packages/policy/src/laburnumford_policy/placement/knee_limit.py
+++ b/packages/policy/src/laburnumford_policy/placement/knee_limit.py
@@ -11,6 +11,8 @@
 """Share of the slots above which a server may slow down."""
 
 _MIN_SAMPLES = 15
+"""Runs on each side; fewer give a quantile that jumps."""
+
 _MARGIN = 1.1
 """Times differ for other reasons too; a small loss is no reason to leave slots empty."""
 
@@ -18,7 +20,11 @@
 """The shorter runs do not contain waits for calls that the server itself makes."""
 
 _STEP = 0.08
+"""Share by which one run moves the quantile."""
+
 _CAUTION_S = 4.0
+"""Seconds; servers are cold for about three."""
+
 _CAUTION_COST = 0.25
 """A server that has just started is slow and meets a backlog. Where it costs at most this
 share of the slots, it is not filled beyond a possible knee for the first seconds."""
--- a/packages/policy/src/laburnumford_policy/placement/placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/placement.py
@@ -17,6 +17,8 @@
 """Spreads the nodes over servers that look alike, so that they do not all take the same one."""
 
 _WORK_WEIGHT = 0.05
+"""Weight of one answer in the mean: about the last twenty count."""
+
 _ZONE_COST_S_PER_KB = 0.015
 """Bytes between availability zones are paid for. A request goes to another zone if it is
 answered earlier by this much for each kilobyte."""
--- a/packages/policy/src/laburnumford_policy/placement/repeat_budget.py
+++ b/packages/policy/src/laburnumford_policy/placement/repeat_budget.py
@@ -7,6 +7,7 @@
 import collections
 
 _BUCKETS = 10
+"""Parts of a window; a tenth more than the window is counted at most."""
 
 
 class RepeatBudget:
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -9,11 +9,16 @@
 machines change within some hundred milliseconds."""
 
 _MEAN_WEIGHT = 0.02
+"""Weight of one report: with some ten a second the mean spans seconds."""
+
 _FAILURE_WEIGHT = 0.2
+"""Weight of one result: four failures in a row are a share above one half."""
+
 _FAILURE_HALF_LIFE_S = 2.0
 """A failing server is tried again with a trickle after some seconds."""
 
 _MAX_FAILURE_SHARE = 0.95
+"""Keeps the expected time finite, so that the least bad server is still found."""
 
 
 class ServerView:
