Take the choice out of the test of a stopping node

Traced: with two idle servers the choice is random, and twenty requests in a row may all go to the other one. The node did nothing wrong. Change: the other server drains first; the test now wants all twenty runs on that server, where it wanted one.

--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -164,11 +164,15 @@
     each stop, one server in four was out of use at any time.
     """
     fleet, (_, other) = pair
+    # Between two idle servers the choice is random, so the other one is taken out.
+    drains = conftest.make_entry("server-1", fleet.backends[1].address, draining=True)
+    fleet.publish("servers/1", drains)
+    await _until(lambda: all(made.server_count("s") == 1 for made in fleet.nodes))
     fleet.nodes[0].request_stop()
     await asyncio.sleep(0.1)
     for index in range(20):
         assert (await fleet.request(other, "POST", "/post/1", f"s{index}"))[0] == 200
-    assert fleet.backends[0].runs
+    assert len(fleet.backends[0].runs) == 20
 
 
 async def test_metrics_page_counts_answers(pair):
