Do not forget the first of two attempts side by side

Cause: when the first of two attempts side by side ended without a usable answer, the dispatcher dropped its result. If it may have run and the second was refused, the caller got 503, which promises that the request did not run. Servers in a slow spell were asked one after the other without a bound.

Change: every attempt that gives no answer for the caller is noted, also the first of two. After four refusals for slowness the next server takes the request.

Tests: five in test_dispatcher.py; the untrue refusal, the lost failure and the unbounded round over slow servers failed before (31 servers asked).

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -50,6 +50,10 @@
 _SLOW_REASON = "slow"
 """The server is in a slow spell that this node did not know of; it may still be the best."""
 
+_MAX_SLOW_REFUSALS = 4
+"""Each costs a round trip of up to 3 ms; a spell lasts some 100 ms. After so many the whole
+service is slow, and the next server takes the request all the same."""
+
 _BLOCK_S_BY_REASON = {
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
     "leaving": _LEAVING_BLOCK_S,
@@ -136,25 +140,13 @@
             if tried.arrivals and not self._may_repeat(ongoing, state, tried):
                 return self._give_up(tried, "budget")
             result, used = await self._attempt_hedged(ongoing, state, view, tried)
-            if isinstance(result, frames.Refusal) and result.reason == _SLOW_REASON:
-                tried.known_slow.add(used.server_id)
-                continue
-            tried.excluded.add(used.server_id)
-            if isinstance(result, frames.Answer):
-                if not self._is_failure(ongoing, result):
-                    return result
-                tried.arrivals += 1
-                tried.maybe_ran = True
-                tried.last_failure = result
-            elif isinstance(result, frames.Unknown):
-                tried.arrivals += 1
-                tried.maybe_ran = True
-                if not ongoing.idempotent:
-                    raise errors.UnknownOutcomeError(result.reason)
-            else:
-                self._take_refusal(tried, used, result)
-                if tried.refusals >= _MAX_REFUSALS:
-                    return self._give_up(tried, "no-room")
+            if isinstance(result, frames.Answer) and not self._is_failure(ongoing, result):
+                return result
+            self._observe_failed(tried, used, result)
+            if isinstance(result, frames.Unknown) and not ongoing.idempotent:
+                raise errors.UnknownOutcomeError(result.reason)
+            if tried.refusals >= _MAX_REFUSALS:
+                return self._give_up(tried, "no-room")
 
     @staticmethod
     def _is_failure(ongoing: call.Call, result: frames.Answer) -> bool:
@@ -166,9 +158,27 @@
             return False
         return state.repeat_budget.take(clock.now())
 
-    def _take_refusal(
-        self, tried: _Attempts, used: server_view.ServerView, result: frames.Refusal
+    def _observe_failed(
+        self, tried: _Attempts, used: server_view.ServerView, result: Result
+    ) -> None:
+        """Notes an attempt that gave no answer for the caller."""
+        if isinstance(result, frames.Refusal):
+            self._observe_refusal(tried, used, result)
+            return
+        tried.excluded.add(used.server_id)
+        tried.arrivals += 1
+        tried.maybe_ran = True
+        if isinstance(result, frames.Answer):
+            tried.last_failure = result
+
+    @staticmethod
+    def _observe_refusal(
+        tried: _Attempts, used: server_view.ServerView, result: frames.Refusal
     ) -> None:
+        if result.reason == _SLOW_REASON:
+            tried.known_slow.add(used.server_id)
+            return
+        tried.excluded.add(used.server_id)
         tried.refusals += 1
         if result.reason in _ARRIVED_REASONS:
             tried.arrivals += 1
@@ -208,7 +218,6 @@
                 second = self._second_server(ongoing, state, view, tried)
                 if second is not None:
                     self._metrics.count("hedges_total", ongoing.service)
-                    tried.arrivals += 1
                     view_by_task[
                         loop.create_task(self._attempt(ongoing, state, second, tried))
                     ] = second
@@ -228,11 +237,12 @@
         while True:
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
-                result = task.result()
+                result, used = task.result(), view_by_task[task]
                 good = isinstance(result, frames.Answer) and not self._is_failure(ongoing, result)
-                if good or not pending:
-                    return result, view_by_task[task]
-                tried.excluded.add(view_by_task[task].server_id)
+                del view_by_task[task]
+                if good or not view_by_task:
+                    return result, used
+                self._observe_failed(tried, used, result)
 
     @staticmethod
     def _hedge_delay_s(
@@ -303,7 +313,11 @@
             idempotent=ongoing.idempotent,
             priority=ongoing.priority,
             work_key=ongoing.route_name,
-            expects_slow=view.looks_slow(now) or view.server_id in tried.known_slow,
+            expects_slow=(
+                view.looks_slow(now)
+                or view.server_id in tried.known_slow
+                or len(tried.known_slow) >= _MAX_SLOW_REFUSALS
+            ),
         )
         if entry is None:
             return frames.Refusal(frame.call_id, "no-server", 0.0, self._local.report())
