--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -104,6 +104,11 @@
             await asyncio.sleep(0.005)
 
 
+def _stand_still(seconds):
+    """Blocks the event loop, as a process does that is not scheduled."""
+    time.sleep(seconds)
+
+
 async def test_call_is_answered(receiver):
     """Guards against streams that do not open."""
     sender = Sender(receiver.port)
@@ -164,7 +169,7 @@
     sender.peer.check()
     await asyncio.sleep(peer.CHECK_INTERVAL_S)
     sender.peer.check()
-    time.sleep(1.0)
+    _stand_still(1.0)
     sender.peer.check()
     assert sender.suspected == []
     receiver.gate.set()
