--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -9,6 +9,11 @@
 _WATCH_S = 0.7
 """A watch that waits longer would hide a stream to the store that has gone silent."""
 
+_READ_PAUSE_S = 0.25
+"""Seconds between two reads that brought changes. Entries of a large fleet are renewed dozens
+of times a second, and a watch returns at the first of them. An eighth of the published bound
+of 2 s for changes."""
+
 _STALE_S = 0.9
 """A node that has not heard for this long that its values are current reads by itself. The
 published bound for changes is 2 s."""
@@ -138,6 +143,7 @@
         self._mark_current(asked_s)
         if applied:
             self._on_records(applied, after_outage)
+            await asyncio.sleep(_READ_PAUSE_S)
 
     async def _back_off(self, error: errors.StoreError) -> None:
         if not self._failures:
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
@@ -0,0 +1,70 @@
+"""Tests of what a reader costs the store and how soon it sees changes."""
+
+import asyncio
+import random
+
+import pytest
+
+from laburnumford_mesh import clock, store_sync
+from laburnumford_mesh.tests import conftest
+
+_RENEWAL_GAP_S = 0.01
+"""Some hundred servers that renew their entries every second or two."""
+
+
+@pytest.fixture
+def busy_store():
+    """Returns a store with one record."""
+    made = conftest.FakeStore()
+    made.put("servers/0", b"0")
+    return made
+
+
+@pytest.fixture
+async def reader(busy_store, log):
+    """Returns a running reader and the times at which it saw records, by value."""
+    seen_s_by_value: dict[bytes, float] = {}
+
+    def take(records, after_outage):
+        del after_outage
+        for each in records:
+            seen_s_by_value.setdefault(each.value, clock.now())
+
+    made = store_sync.StoreSync(
+        source=busy_store,
+        is_reader=lambda: True,
+        on_records=take,
+        log=log,
+        generator=random.Random(1),
+    )
+    task = asyncio.create_task(made.run())
+    yield made, seen_s_by_value
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_renewals_of_many_servers_are_read_in_batches(busy_store, reader):
+    """Guards against one read of the store for each renewal of an entry.
+
+    Answers the load pattern of a large fleet, whose entries change dozens of times a second:
+    on a played quiet day with 80 VMs two readers made most of 1,126 reads in 48 s.
+    """
+    made, _ = reader
+    for index in range(150):
+        busy_store.put("servers/0", str(index).encode())
+        await asyncio.sleep(_RENEWAL_GAP_S)
+    assert made.reads_count <= 12
+
+
+async def test_change_between_renewals_is_seen_soon(busy_store, reader):
+    """Guards against a change that waits behind renewals for a large part of its bound."""
+    _, seen_s_by_value = reader
+    for index in range(20):
+        busy_store.put("servers/0", str(index).encode())
+        await asyncio.sleep(_RENEWAL_GAP_S)
+    busy_store.put("op/config", b"new")
+    published_s = clock.now()
+    async with asyncio.timeout(5):
+        while b"new" not in seen_s_by_value:
+            await asyncio.sleep(_RENEWAL_GAP_S)
+    assert seen_s_by_value[b"new"] - published_s < 1.0
