Let one node read the store, and large bodies wait in their zone

Cause: two readers watched the store all the time, and the second told the others nothing that the first had not told. Uploads crossed zones for a gain of 0.3 s also where they had a second until their aim.

Change: the second node in the order of readers is a standby that reads when its values are older than 0.7 s. A body waits in its own zone for up to half of the time until its aim.

Tests: the standby does not read while it hears of current values, and reads within 0.9 s of silence; an upload with a second to spare stays in its zone (failed first).

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -133,7 +133,12 @@
             if ongoing.deadline_s - now < _MIN_LEFT_S:
                 return self._give_up(tried, "deadline")
             view = state.placement.choose(
-                now, ongoing.route_name, _DEFAULT_WORK_S, len(ongoing.body), tried.excluded
+                now,
+                ongoing.route_name,
+                _DEFAULT_WORK_S,
+                len(ongoing.body),
+                tried.excluded,
+                ongoing.aim_s - now,
             )
             if view is None:
                 return self._give_up(tried, "no-server" if not tried.excluded else "no-room")
@@ -265,6 +270,7 @@
             _DEFAULT_WORK_S,
             len(ongoing.body),
             {first.server_id, *tried.excluded},
+            ongoing.aim_s - now,
         )
         if second is None or not second.has_room():
             return None
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -36,9 +36,6 @@
 from laburnumford_mesh.http import answer as answers
 from laburnumford_mesh.http import edge_server, request
 
-_READERS = 2
-"""Nodes that read the store at all times; a second one covers the loss of the first."""
-
 _BEACON_INTERVAL_S = 0.2
 """Seconds; with three peers each, news of a silent store reaches all in about a second."""
 
@@ -112,7 +109,7 @@
         )
         self._sync = store_sync.StoreSync(
             source=source,
-            is_reader=self._is_reader,
+            rank=lambda: self._rank,
             on_records=self._apply_records,
             log=self._log,
             generator=self._generator,
@@ -169,7 +166,7 @@
         self._metrics_server = self._server(own.metrics_address, self._answer_metrics)
         self._incarnation_by_ip: dict[str, int] = {}
         self._reported_s = 0.0
-        self._reader = False
+        self._rank = 0
 
     def server_count(self, service: str) -> int:
         """Returns how many servers of a service may get requests."""
@@ -279,7 +276,7 @@
                 "server_runs_total": self._local.runs_count,
                 "server_probes_total": self._local.probes_count,
                 "server_connections_opened_total": self._local.connections_opened,
-                "reader": float(self._reader),
+                "reader": float(self._rank == 0),
             }
         )
         return answers.Answer(
@@ -311,7 +308,7 @@
             )
         self._peers.apply({entry.ip: entry.zone for entry in entries})
         self._services.apply(self._directory.usable(), nodes=self._peers.count + 1)
-        self._reader = self._rank(entries) < _READERS
+        self._rank = self._find_rank(entries)
 
     def _own_entry(
         self, entries: Sequence[server_entry.ServerEntry]
@@ -319,16 +316,13 @@
         found = [each for each in entries if each.address == self._settings.server_address]
         return max(found, key=lambda entry: entry.age_order, default=None)
 
-    def _rank(self, entries: Sequence[server_entry.ServerEntry]) -> int:
+    def _find_rank(self, entries: Sequence[server_entry.ServerEntry]) -> int:
         """Returns the place of this VM in an order that all nodes compute alike."""
         ips = {entry.ip for entry in entries if not entry.draining}
         ips.add(self._settings.ip)
         ordered = sorted(ips, key=lambda ip: hashlib.blake2b(ip.encode()).digest())
         return ordered.index(self._settings.ip)
 
-    def _is_reader(self) -> bool:
-        return self._reader
-
     def _values_since(self, revision: int) -> frames.Values:
         records, whole = self._sync.changes_since(revision)
         return frames.Values(
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -6,8 +6,16 @@
 
 from laburnumford_mesh import clock, errors, event_log, record, record_set, store
 
-_WATCH_S = 0.7
-"""A watch that waits longer would hide a stream to the store that has gone silent."""
+_WATCH_S = 0.4
+"""Seconds; the standby takes a reader for lost that brings no news for longer than this and
+the way through the fleet."""
+
+_READER_RANK = 0
+_STANDBY_RANK = 1
+
+_STANDBY_STALE_S = 0.7
+"""The standby reads when it has not heard for this long that its values are current, before
+the other nodes do."""
 
 _READ_PAUSE_S = 0.25
 """Seconds between two reads that brought changes. Entries of a large fleet are renewed dozens
@@ -15,7 +23,7 @@
 of 2 s for changes."""
 
 _STALE_S = 0.9
-"""A node that has not heard for this long that its values are current reads by itself. The
+"""Any node that has not heard for this long that its values are current reads by itself. The
 published bound for changes is 2 s."""
 
 _STALE_JITTER_S = 0.4
@@ -42,7 +50,8 @@
 
     Args:
         source: the store.
-        is_reader: returns whether this node is among those that read at all times.
+        rank: returns the place of this node in an order that all nodes compute alike. The
+            first one reads at all times and the second one when the first falls silent.
         on_records: called with new records and whether the store was away before.
         log: structured log.
         generator: source of random numbers.
@@ -52,13 +61,13 @@
         self,
         *,
         source: store.Store,
-        is_reader: Callable[[], bool],
+        rank: Callable[[], int],
         on_records: Callable[[Sequence[record.Record], bool], None],
         log: event_log.EventLog,
         generator: random.Random,
     ) -> None:
         self._source = source
-        self._is_reader = is_reader
+        self._rank = rank
         self._on_records = on_records
         self._log = log
         self._generator = generator
@@ -86,7 +95,7 @@
     async def run(self) -> None:
         """Reads until it is cancelled."""
         while True:
-            if self.revision and not self._is_reader() and self.age_s() < self._stale_limit_s:
+            if self.revision and not self._is_reader() and self.age_s() < self._limit_s():
                 await asyncio.sleep(_CHECK_S)
                 continue
             try:
@@ -148,13 +157,20 @@
     async def _back_off(self, error: errors.StoreError) -> None:
         if not self._failures:
             self._log.write("store_lost", error=str(error), revision=self.revision)
-        limit_s = _READER_BACKOFF_S if self._is_reader() else _OTHER_BACKOFF_S
+        limit_s = _READER_BACKOFF_S if self._rank() <= _STANDBY_RANK else _OTHER_BACKOFF_S
         if not self.revision:
             limit_s = _READER_BACKOFF_S
         wait_s = min(_FIRST_BACKOFF_S * 2.0 ** min(self._failures, 8), limit_s)
         self._failures += 1
         await asyncio.sleep(wait_s * (0.75 + 0.5 * self._generator.random()))
 
+    def _is_reader(self) -> bool:
+        return self._rank() == _READER_RANK
+
+    def _limit_s(self) -> float:
+        """Returns the age of the values at which this node reads by itself."""
+        return _STANDBY_STALE_S if self._rank() == _STANDBY_RANK else self._stale_limit_s
+
     def _mark_current(self, at_s: float) -> None:
         if self._synced_s is None or at_s > self._synced_s:
             self._synced_s = at_s
--- a/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
@@ -11,6 +11,9 @@
 _RENEWAL_GAP_S = 0.01
 """Some hundred servers that renew their entries every second or two."""
 
+_BEACON_GAP_S = 0.2
+"""Nodes tell each other about this often how current their values are."""
+
 
 @pytest.fixture
 def busy_store():
@@ -21,8 +24,31 @@
 
 
 @pytest.fixture
-async def reader(busy_store, log):
-    """Returns a running reader and the times at which it saw records, by value."""
+async def start(busy_store, log):
+    """Returns a function that starts the sync of a node of a given rank.
+
+    The function returns the sync and the times at which it saw records, by value.
+    """
+    tasks = []
+
+    def start_one(rank):
+        made, seen_s_by_value = _sync(rank, busy_store, log)
+        tasks.append(asyncio.create_task(made.run()))
+        return made, seen_s_by_value
+
+    yield start_one
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@pytest.fixture
+async def reader(start):
+    """Returns the running sync of the reader and the times at which it saw records."""
+    return start(0)
+
+
+def _sync(rank, busy_store, log):
     seen_s_by_value: dict[bytes, float] = {}
 
     def take(records, after_outage):
@@ -32,15 +58,12 @@
 
     made = store_sync.StoreSync(
         source=busy_store,
-        is_reader=lambda: True,
+        rank=lambda: rank,
         on_records=take,
         log=log,
         generator=random.Random(1),
     )
-    task = asyncio.create_task(made.run())
-    yield made, seen_s_by_value
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
+    return made, seen_s_by_value
 
 
 async def test_renewals_of_many_servers_are_read_in_batches(busy_store, reader):
@@ -68,3 +91,21 @@
         while b"new" not in seen_s_by_value:
             await asyncio.sleep(_RENEWAL_GAP_S)
     assert seen_s_by_value[b"new"] - published_s < 1.0
+
+
+async def test_standby_reads_only_when_the_reader_is_silent(busy_store, start):
+    """Guards against a standby that costs as much as the reader, or comes as late as others."""
+    made, seen_s_by_value = start(1)
+    async with asyncio.timeout(5):
+        while not made.revision:
+            await asyncio.sleep(_RENEWAL_GAP_S)
+    for _ in range(10):
+        made.observe_peer(made.revision, 0.1)
+        await asyncio.sleep(_BEACON_GAP_S)
+    assert made.reads_count == 1
+    busy_store.put("op/config", b"new")
+    silent_since_s = clock.now()
+    async with asyncio.timeout(5):
+        while b"new" not in seen_s_by_value:
+            await asyncio.sleep(_RENEWAL_GAP_S)
+    assert seen_s_by_value[b"new"] - silent_since_s < 0.9
--- a/packages/policy/src/laburnumford_policy/placement/placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/placement.py
@@ -24,7 +24,11 @@
 answered earlier by this much for each kilobyte."""
 
 _MAX_ZONE_COST_S = 0.3
-"""No amount of bytes justifies a longer wait than this."""
+"""Seconds that a request waits in its own zone rather than cross, however near its aim is."""
+
+_MAX_ZONE_COST_AIM_SHARE = 0.5
+"""A large body waits in its own zone for up to this share of the time until its aim; the other
+half covers its work in a slow spell."""
 
 
 class Placement:
@@ -67,10 +71,23 @@
         default_work_s: float,
         body_bytes: int,
         excluded: Collection[str] = (),
+        aim_left_s: float = 0.0,
     ) -> server_view.ServerView | None:
-        """Returns the server with the least expected time and cost, or None without any."""
+        """Returns the server with the least expected time and cost, or None without any.
+
+        Args:
+            now: current time.
+            work_key: kind of work.
+            default_work_s: expected time of its work as long as none was seen.
+            body_bytes: size of the request's body.
+            excluded: ids of servers that are out of question.
+            aim_left_s: time until the answer loses worth.
+        """
         kilobytes = (body_bytes + self._answer_bytes_by_key.get(work_key, 0.0)) / 1000.0
-        zone_cost_s = min(kilobytes * _ZONE_COST_S_PER_KB, _MAX_ZONE_COST_S)
+        zone_cost_s = min(
+            kilobytes * _ZONE_COST_S_PER_KB,
+            max(_MAX_ZONE_COST_S, _MAX_ZONE_COST_AIM_SHARE * aim_left_s),
+        )
         work_s = self.work_s(work_key, default_work_s)
         best: server_view.ServerView | None = None
         best_s = 0.0
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_placement.py
@@ -34,8 +34,8 @@
     return made
 
 
-def _choose(chooser, now, *, body_bytes=0, excluded=()):
-    return chooser.choose(now, "k", 0.09, body_bytes, excluded).server_id
+def _choose(chooser, now, *, body_bytes=0, excluded=(), aim_left_s=0.3):
+    return chooser.choose(now, "k", 0.09, body_bytes, excluded, aim_left_s).server_id
 
 
 def test_slow_spell_is_left_at_once(chooser):
@@ -80,6 +80,19 @@
     assert _choose(chooser, 1.0, body_bytes=0) == "c"
 
 
+def test_upload_with_time_to_spare_waits_in_its_zone(chooser):
+    """Guards against bytes between zones for an upload that is in time in its own zone too.
+
+    Load pattern: the servers of a zone have a backlog of some tenths of a second, and uploads
+    have a second until their aim.
+    """
+    _report(chooser.views_by_id["a"], 1.0, running=4, waiting=16)
+    _report(chooser.views_by_id["b"], 1.0, running=4, waiting=16)
+    _report(chooser.views_by_id["c"], 1.0)
+    assert _choose(chooser, 1.0, body_bytes=60_000, aim_left_s=1.05) in {"a", "b"}
+    assert _choose(chooser, 1.0, body_bytes=60_000, aim_left_s=0.3) == "c"
+
+
 def test_failing_server_gets_a_trickle(chooser):
     """Guards against a server that fails fast and therefore looks the least loaded."""
     for _ in range(20):
