--- a/packages/testkit/src/laburnumford_testkit/bench/__main__.py
+++ b/packages/testkit/src/laburnumford_testkit/bench/__main__.py
@@ -7,9 +7,9 @@
 
 import click
 
-from laburnumford_testkit.bench import bench, path, policy, scale
+from laburnumford_testkit.bench import bench, limit, path, policy, scale
 
-_LOADED = (path, policy, scale)  # importing a module registers its bench
+_LOADED = (limit, path, policy, scale)  # importing a module registers its bench
 
 
 async def _run(name: str, **options: Any) -> None:
