Do not take bodies on their way over narrow links for silence

A ping waits behind the bodies that were sent before it. Each suspicion kept calls away for 0.3 s, and each new stream carried the waiting bodies once more.

Change: silence counts from the moment at which all frames sent so far have arrived at 2 Mbit/s.

--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -8,6 +8,10 @@
 
 from laburnumford_mesh import clock, frames
 
+_SHARED_BYTES_PER_S = 250_000.0
+"""Bytes a second of a stream on the narrowest link of a VM, 5 Mbit/s, of which it has a part.
+Calls with large bodies share the link with those of other nodes."""
+
 
 class Link(asyncio.Protocol):
     """Splits received bytes into frames.
@@ -32,6 +36,8 @@
         self._buffer = bytearray()
         self.lost = False
         self.heard_s = clock.now()
+        self.sent_until_s = clock.now()
+        """When all frames so far have arrived, even on a narrow link."""
         self.peer_ip = ""
         self.peer_incarnation: int | None = None
 
@@ -77,7 +83,11 @@
         """Sends a frame; returns False if the stream has ended."""
         if self.lost or self._transport is None or self._transport.is_closing():
             return False
-        self._transport.write(frames.encode_for_stream(frame))
+        encoded = frames.encode_for_stream(frame)
+        self.sent_until_s = (
+            max(self.sent_until_s, clock.now()) + len(encoded) / _SHARED_BYTES_PER_S
+        )
+        self._transport.write(encoded)
         return True
 
     def abort(self) -> None:
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -168,7 +168,8 @@
                 self._pinged_s = now
                 current.send(frames.Ping())
             return
-        unanswered_s = now - self._pinged_s
+        # The ping waits behind the bodies that were sent before it.
+        unanswered_s = now - max(self._pinged_s, current.sent_until_s)
         if unanswered_s > _SUSPECT_S:
             self._on_suspect(current.peer_ip)
         if unanswered_s > _SILENCE_S:
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -157,6 +157,24 @@
     await between.close()
 
 
+async def test_large_body_on_a_narrow_link_is_not_silence(receiver):
+    """Guards against avoiding a node, and sending a body twice, while the body is on its way.
+
+    Seen on a played day with links of 5 Mbit/s: nodes beside file servers were suspected a
+    thousand times, and each new stream carried all bodies again.
+    """
+    between = proxy.FaultProxy(target=f"127.0.0.1:{receiver.port}", generator=random.Random(1))
+    await between.start()
+    narrow = faults.DirectionFaults(bytes_per_s=500_000.0)
+    between.set_faults(faults.Faults(to_target=narrow))
+    sender = Sender(int(between.address.rpartition(":")[2]))
+    assert (await sender.call(body=b"x" * 500_000)).status == 200
+    assert sender.suspected == []
+    assert len(receiver.runs) == 1
+    await sender.close()
+    await between.close()
+
+
 async def test_own_pause_is_not_taken_for_silence_of_the_others(receiver):
     """Guards against a node that avoids all others after its own process stood still.
 
