--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -65,7 +65,7 @@
 _GOODBYE_BLOCK_S = 8.0
 """Seconds; longer than the grace time. The beacon of the next start ends it."""
 
-_SUSPECT_S = 0.3
+_SUSPECT_BLOCK_S = 0.3
 """Seconds until the stream has been replaced or answers again."""
 
 _BODY_MEMORY_SHARE = 0.25
@@ -363,7 +363,7 @@
 
     def _take_suspicion(self, ip: str) -> None:
         self._log.write("peer_silent", peer=ip)
-        self._services.suspect(ip, _SUSPECT_S)
+        self._services.block(ip, _SUSPECT_BLOCK_S)
 
     def _beacon(self) -> frames.Beacon:
         return frames.Beacon(self._incarnation, self._sync.revision, min(self._sync.age_s(), 1e6))
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -110,17 +110,10 @@
         for view in self._views_at(ip):
             view.blocked_until_s = max(view.blocked_until_s, until_s)
 
-    def suspect(self, ip: str, seconds: float) -> None:
-        """Prefers other servers to those on a VM for some time."""
-        until_s = clock.now() + seconds
-        for view in self._views_at(ip):
-            view.suspected_until_s = max(view.suspected_until_s, until_s)
-
     def unblock(self, ip: str) -> None:
         """Lets requests go to the servers on a VM whose node has started again."""
         for view in self._views_at(ip):
             view.blocked_until_s = 0.0
-            view.suspected_until_s = 0.0
             view.forget_sequence()
 
     def _views_at(self, ip: str) -> list[server_view.ServerView]:
--- a/packages/policy/src/laburnumford_policy/placement/placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/placement.py
@@ -13,10 +13,6 @@
 _COLD_FACTOR = 2.0
 """Servers that have just started are about this much slower until they are warm."""
 
-_SUSPECT_COST_S = 1.0
-"""Seconds of wait that are better than a server whose node does not answer now. Such a node may
-also sit behind a congested link, so it is used when all others are worse."""
-
 _JITTER = 0.1
 """Spreads the nodes over servers that look alike, so that they do not all take the same one."""
 
@@ -102,8 +98,6 @@
             expected_s *= 1.0 + _JITTER * self._generator.random()
             if view.other_zone:
                 expected_s += zone_cost_s
-            if now < view.suspected_until_s:
-                expected_s += _SUSPECT_COST_S
             if best is None or expected_s < best_s:
                 best, best_s = view, expected_s
         return best
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -38,7 +38,6 @@
         self.slots = slots
         self.cold_until_s = 0.0
         self.blocked_until_s = 0.0
-        self.suspected_until_s = 0.0
         self.outstanding = 0
         self._sequence = -1
         self._load = 0
