Offer large bodies, and bookings to quiet nodes, before they are sent

An upload of 60 kB crossed a link in 0.4 s only to be refused there as overloaded, and went on to the next server, which did the same; the copies congested the links, calls of running requests waited behind them, and their parents failed. Bookings sent to a node that was cut off a moment before ended with an unknown outcome.

Change: a body of 16 kB or more, and a request that must not run twice to a node not heard of for 0.1 s, is offered first, in a message of 100 bytes. The node accepts and keeps a place for 0.5 s, or refuses; without an answer in 0.25 s the request, of which nothing was sent, goes elsewhere.

Tests: a large body is sent once, a booking is not sent into a cut, only offers make a true refusal, accepted offers keep places (failed first: 60 of 60 were accepted), an offered request is run.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -4,6 +4,8 @@
 import itertools
 from typing import Any
 
+import msgspec
+
 from laburnumford_mesh import (
     call,
     clock,
@@ -12,6 +14,7 @@
     frames,
     local_server,
     metrics,
+    peer,
     peers,
     services,
 )
@@ -44,6 +47,20 @@
 _HEDGE_FLOOR_S = 0.03
 """Seconds; less than ten round trips between zones are no sign of a slow server."""
 
+_OFFER_BODY_BYTES = 16_000
+"""A body of this size takes 25 ms on a link of 5 Mbit/s, ten round trips between zones. It is
+sent to a server that takes the request, instead of to several that refuse it."""
+
+_OFFER_QUIET_S = 0.1
+"""Seconds. A node that was heard more recently is there. Another one is asked before it gets a
+request that must not run twice: what is sent into a cut leaves its outcome unknown."""
+
+_OFFER_TIMEOUT_S = 0.25
+"""Seconds; a node that takes longer to answer a message of 100 bytes is cut off, or sits behind
+a congested link that a body would congest further."""
+
+_OFFER_SILENT_REASON = "peer-silent"
+
 _ARRIVED_REASONS = frozenset({"server-refused", "misdirected"})
 """Refusals by a server itself: the request reached it, which counts as an arrival."""
 
@@ -56,13 +73,14 @@
 
 _BLOCK_S_BY_REASON = {
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
+    _OFFER_SILENT_REASON: _DOWN_BLOCK_S,
     "leaving": _LEAVING_BLOCK_S,
     "server-down": _DOWN_BLOCK_S,
     "other-server": _GONE_BLOCK_S,
     "misdirected": _GONE_BLOCK_S,
 }
 
-Result = frames.Answer | frames.Refusal | frames.Unknown
+Result = peer.Result
 
 
 class _Attempts:
@@ -324,19 +342,56 @@
                 or view.server_id in tried.known_slow
                 or len(tried.known_slow) >= _MAX_SLOW_REFUSALS
             ),
+            offered=False,
         )
         if entry is None:
             return frames.Refusal(frame.call_id, "no-server", 0.0, self._local.report())
         if entry.address == self._server_address:
             found: Result = await self._local.run(frame)
             return found
+        return await self._send_to_peer(ongoing, self._peers.get(entry.ip), frame)
+
+    async def _send_to_peer(
+        self, ongoing: call.Call, target: peer.Peer, frame: frames.Request
+    ) -> Result:
+        quiet = not ongoing.idempotent and target.quiet_s() > _OFFER_QUIET_S
+        if quiet or len(ongoing.body) >= _OFFER_BODY_BYTES:
+            refusal = await self._offer(ongoing, target, frame)
+            if refusal is not None:
+                return refusal
+            left_s = ongoing.deadline_s - clock.now()
+            frame = msgspec.structs.replace(frame, left_s=left_s, offered=True)
         try:
-            return await self._peers.get(entry.ip).call(frame, ongoing.deadline_s - now)
+            return await target.call(frame, ongoing.deadline_s - clock.now())
         except errors.RefusedError as error:
             return frames.Refusal(frame.call_id, error.reason, 0.0, self._local.report())
         except errors.UnknownOutcomeError as error:
             return frames.Unknown(frame.call_id, error.reason, self._local.report())
 
+    async def _offer(
+        self, ongoing: call.Call, target: peer.Peer, frame: frames.Request
+    ) -> frames.Refusal | None:
+        """Asks a node whether it takes a request; returns its refusal or None."""
+        self._metrics.count("offers_total", ongoing.service)
+        offer = frames.Offer(
+            call_id=next(self._call_ids),
+            server_id=frame.server_id,
+            left_s=frame.left_s,
+            aim_left_s=frame.aim_left_s,
+            idempotent=frame.idempotent,
+            priority=frame.priority,
+            work_key=frame.work_key,
+            expects_slow=frame.expects_slow,
+        )
+        try:
+            result = await target.offer(offer, min(_OFFER_TIMEOUT_S, frame.left_s))
+        except errors.RefusedError as error:
+            return frames.Refusal(frame.call_id, error.reason, 0.0, self._local.report())
+        except errors.UnknownOutcomeError:
+            # Only the offer was sent, so the request has not run whatever became of it.
+            return frames.Refusal(frame.call_id, _OFFER_SILENT_REASON, 0.0, self._local.report())
+        return result if isinstance(result, frames.Refusal) else None
+
     def _learn(
         self,
         ongoing: call.Call,
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -65,6 +65,7 @@
         work_key: route, by which service times are told apart.
         expects_slow: whether the sender knows that the server may be in a slow spell. If it
             does not, it is told first and may choose another server.
+        offered: whether the receiver has accepted an offer of this request.
     """
 
     call_id: int
@@ -79,6 +80,7 @@
     priority: int
     work_key: str
     expects_slow: bool
+    offered: bool
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True, tag=2):
@@ -166,6 +168,29 @@
     server_id: str
 
 
+class Offer(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """Asks whether a request would be taken, before its body is sent.
+
+    The fields are those of the request.
+    """
+
+    call_id: int
+    server_id: str
+    left_s: float
+    aim_left_s: float
+    idempotent: bool
+    priority: int
+    work_key: str
+    expects_slow: bool
+
+
+class Acceptance(msgspec.Struct, array_like=True, frozen=True, tag=14):
+    """An offered request would be taken now; a place is kept for it for a moment."""
+
+    call_id: int
+    load: LoadReport
+
+
 Frame = (
     Hello
     | Request
@@ -180,6 +205,8 @@
     | Beacon
     | Report
     | Goodbye
+    | Offer
+    | Acceptance
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -1,6 +1,7 @@
 """The backend server beside this node: order, limit and exchange."""
 
 import asyncio
+import collections
 import itertools
 import math
 from collections.abc import Callable
@@ -56,6 +57,10 @@
 _DOWN_S = 0.3
 """After a refused connection the server is taken to be down for this long."""
 
+_OFFER_HOLD_S = 0.5
+"""Seconds that a place is kept for an accepted request: 60 kB take 0.1 s on a link of 5 Mbit/s,
+and other bodies may be on their way over it."""
+
 _DEADLINE_GRACE_S = 0.03
 """The server's own answer at the deadline arrives a moment after it."""
 
@@ -90,6 +95,7 @@
         self._entry_ids = itertools.count()
         self._report_ids = itertools.count()
         self._detached: set[asyncio.Task[Any]] = set()
+        self._offered_until_s: collections.deque[float] = collections.deque()
         self._work_s_by_key: dict[str, float] = {}
         self._usual_work_s = 0.0
         self._speed = server_speed.ServerSpeed()
@@ -143,8 +149,10 @@
             self._speed.current().slow_for_s,
         )
 
-    async def run(self, request: frames.Request) -> Any:
-        """Runs a request and returns the frame that answers it."""
+    async def run(self, request: frames.Request | frames.Offer) -> Any:
+        """Runs a request, or considers an offer; returns the frame that answers it."""
+        if isinstance(request, frames.Offer):
+            return await self._consider(request)
         started_s = clock.now()
         deadline_s = started_s + request.left_s
         try:
@@ -178,9 +186,35 @@
 
     # internals
 
-    async def _take_slot(
-        self, request: frames.Request, started_s: float, deadline_s: float
-    ) -> None:
+    async def _consider(self, offer: frames.Offer) -> frames.Acceptance | frames.Refusal:
+        started_s = clock.now()
+        try:
+            await self._admit(offer, started_s, started_s + offer.left_s, offered=False)
+        except errors.RefusedError as error:
+            return frames.Refusal(offer.call_id, error.reason, error.retry_after_s, self.report())
+        self._offered_until_s.append(clock.now() + _OFFER_HOLD_S)
+        return frames.Acceptance(offer.call_id, self.report())
+
+    def _offered_count(self) -> int:
+        """Returns how many accepted requests are on their way."""
+        now = clock.now()
+        while self._offered_until_s and self._offered_until_s[0] < now:
+            self._offered_until_s.popleft()
+        return len(self._offered_until_s)
+
+    async def _admit(
+        self,
+        request: frames.Request | frames.Offer,
+        started_s: float,
+        deadline_s: float,
+        *,
+        offered: bool,
+    ) -> work_queue.WaitingRequest:
+        """Returns the place of a request in the queue.
+
+        Raises:
+            RefusedError: another server would be better, or none can do it in time.
+        """
         if self.leaving:
             raise errors.RefusedError("leaving")
         if started_s < self._down_until_s:
@@ -192,7 +226,7 @@
             raise errors.RefusedError("deadline")
         speed = self._speed.current()
         known = self._speed.age_s(started_s) < _SAMPLE_S
-        if known and speed.slow and not request.expects_slow:
+        if known and speed.slow and not request.expects_slow and not offered:
             raise errors.RefusedError("slow")
         entry = work_queue.WaitingRequest(
             entry_id=next(self._entry_ids),
@@ -203,8 +237,18 @@
             work_key=request.work_key,
         )
         wait_s = self._expected_wait_s(entry, work_s)
-        if not self._queue.has_room_for(entry, started_s, wait_s):
+        if not offered and not self._queue.has_room_for(
+            entry, started_s, wait_s, self._offered_count()
+        ):
             raise errors.RefusedError("overloaded", wait_s)
+        return entry
+
+    async def _take_slot(
+        self, request: frames.Request, started_s: float, deadline_s: float
+    ) -> None:
+        if request.offered and self._offered_count():
+            self._offered_until_s.popleft()
+        entry = await self._admit(request, started_s, deadline_s, offered=request.offered)
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._grant_by_id[entry.entry_id] = granted
         self._queue.add(entry)
@@ -219,7 +263,9 @@
         finally:
             self._grant_by_id.pop(entry.entry_id, None)
 
-    def _useful_until_s(self, request: frames.Request, work_s: float, now: float) -> float:
+    def _useful_until_s(
+        self, request: frames.Request | frames.Offer, work_s: float, now: float
+    ) -> float:
         """Returns the time until which an answer has its full worth.
 
         Calls that a running request makes look like others, but are short. Failing one fails
@@ -231,7 +277,8 @@
 
     def _expected_wait_s(self, entry: work_queue.WaitingRequest, work_s: float) -> float:
         """Returns the expected time until a slot is free for a request."""
-        ahead = self.running + self._queue.ahead_of(entry) + 1 - self.limit
+        coming = self.running + self._offered_count()
+        ahead = coming + self._queue.ahead_of(entry) + 1 - self.limit
         return max(ahead, 0) * work_s / self.limit
 
     async def _is_server(self, server_id: str) -> bool:
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -286,7 +286,7 @@
             body=text.encode(),
         )
 
-    async def _run_for_peer(self, frame: frames.Request) -> Any:
+    async def _run_for_peer(self, frame: frames.Request | frames.Offer) -> Any:
         return await self._local.run(frame)
 
     # published values
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -1,8 +1,9 @@
 """The stream to one other node and the calls that wait on it."""
 
 import asyncio
+import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from laburnumford_mesh import clock, errors, frames, link
 
@@ -33,6 +34,7 @@
 """Seconds between two tries to connect."""
 
 Result = frames.Answer | frames.Refusal | frames.Unknown
+_Reply = Result | frames.Acceptance
 
 
 class _Waiting:
@@ -40,7 +42,9 @@
 
     __slots__ = ("frame", "future", "sent_to")
 
-    def __init__(self, frame: frames.Request, future: asyncio.Future[Result]) -> None:
+    def __init__(
+        self, frame: frames.Request | frames.Offer, future: asyncio.Future[_Reply]
+    ) -> None:
         self.frame = frame
         self.future = future
         self.sent_to: int | None = None
@@ -90,18 +94,36 @@
         """Whether the last try to connect failed."""
         return self.down_since_s is not None
 
-    async def call(self, frame: frames.Request, timeout_s: float) -> Result:
+    def quiet_s(self) -> float:
+        """Returns the time since the node was heard on the stream."""
+        return math.inf if self._link is None else clock.now() - self._link.heard_s
+
+    async def call(self, request: frames.Request, timeout_s: float) -> Result:
         """Sends a request and returns what came of it.
 
         Raises:
             RefusedError: the request was never sent.
             UnknownOutcomeError: the request was sent and no answer came in time.
         """
+        return cast(Result, await self._exchange(request, timeout_s))
+
+    async def offer(
+        self, offer: frames.Offer, timeout_s: float
+    ) -> frames.Acceptance | frames.Refusal:
+        """Asks whether a request would be taken.
+
+        Raises:
+            RefusedError: the node cannot be reached.
+            UnknownOutcomeError: no answer came in time.
+        """
+        return cast(frames.Acceptance | frames.Refusal, await self._exchange(offer, timeout_s))
+
+    async def _exchange(self, frame: frames.Request | frames.Offer, timeout_s: float) -> _Reply:
         if self.unreachable:
             self._used_s = clock.now()
             self._ensure_connected()
             raise errors.RefusedError("peer-unreachable")
-        future: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[_Reply] = asyncio.get_running_loop().create_future()
         waiting = _Waiting(frame, future)
         self._waiting_by_id[frame.call_id] = waiting
         self._used_s = clock.now()
@@ -273,7 +295,7 @@
             self._ensure_connected()
 
     def _take(self, found: link.Link, frame: Any) -> None:
-        if isinstance(frame, frames.Answer | frames.Refusal | frames.Unknown):
+        if isinstance(frame, _Reply):
             waiting = self._waiting_by_id.get(frame.call_id)
             if waiting is not None and not waiting.future.done():
                 waiting.future.set_result(frame)
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -20,8 +20,8 @@
 _BACKLOG = 512
 """Connections; all nodes of a fleet may come back in the same moment."""
 
-Runner = Callable[[frames.Request], Awaitable[Any]]
-"""Runs a request and returns the frame that answers it."""
+Runner = Callable[[frames.Request | frames.Offer], Awaitable[Any]]
+"""Runs a request, or considers the offer of one, and returns the frame that answers it."""
 
 
 class _Served:
@@ -42,7 +42,7 @@
     Args:
         address: ``ip:port``.
         incarnation: number of this start of the node.
-        run: runs a request.
+        run: runs a request or considers the offer of one.
         values_since: answers a pull.
     """
 
@@ -135,6 +135,8 @@
             found.send(self._values_since(frame.revision))
         elif found.peer_incarnation is None:
             found.abort()
+        elif isinstance(frame, frames.Offer):
+            self._serve((found.peer_incarnation, frame.call_id), frame)
         elif isinstance(frame, frames.Request):
             self._report_targets.observe_call(found.peer_ip, found.heard_s)
             self._serve((found.peer_incarnation, frame.call_id), frame)
@@ -143,7 +145,7 @@
             if served is not None and served.task is not None:
                 served.task.cancel()
 
-    def _serve(self, key: tuple[int, int], request: frames.Request) -> None:
+    def _serve(self, key: tuple[int, int], request: frames.Request | frames.Offer) -> None:
         self._forget_old()
         served = self._served_by_key.get(key)
         if served is not None:
@@ -156,7 +158,7 @@
         served.task = asyncio.get_running_loop().create_task(self._answer(key, served, request))
 
     async def _answer(
-        self, key: tuple[int, int], served: _Served, request: frames.Request
+        self, key: tuple[int, int], served: _Served, request: frames.Request | frames.Offer
     ) -> None:
         try:
             served.answer = await self._run(request)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -20,11 +20,30 @@
         results: what the calls get, in the order in which they are made: a delay in seconds
             and a function that makes the result of a request.
         requests: the requests that were sent.
+        offers: the requests that were offered.
+        offer_results: what the offers get.
+        heard_s_ago: time since a node was heard.
     """
 
     def __init__(self):
         self.results = []
         self.requests = []
+        self.offers = []
+        self.offer_results = [_acceptance]
+        self.heard_s_ago = 0.0
+
+    def quiet_s(self):
+        """Returns the time since a node was heard."""
+        return self.heard_s_ago
+
+    async def offer(self, offer, timeout_s):
+        """Returns the next result of an offer, or none in time."""
+        make = self.offer_results[min(len(self.offers), len(self.offer_results) - 1)]
+        self.offers.append(offer)
+        if make is None:
+            await asyncio.sleep(timeout_s)
+            raise errors.UnknownOutcomeError("peer-timeout")
+        return make(offer)
 
     def get(self, ip):
         """Returns the peer on a VM."""
@@ -54,6 +73,10 @@
     return frames.LoadReport(request.server_id, 1, 0, 0, 4, 1.0, 0.0, 0.0)
 
 
+def _acceptance(offer):
+    return frames.Acceptance(offer.call_id, _report(offer))
+
+
 def _answer(status):
     return lambda request: frames.Answer(
         request.call_id, status, b"", [], b"", 0.01, _report(request)
@@ -68,7 +91,7 @@
     return frames.Unknown(request.call_id, "cut", _report(request))
 
 
-def _call(*, left_s=2.0, max_attempts=3):
+def _call(*, left_s=2.0, max_attempts=3, body=b"", idempotent=True):
     now = clock.now()
     return call.Call(
         request_id="1",
@@ -77,8 +100,8 @@
         method=b"GET",
         target=b"/get/1",
         fields=[],
-        body=b"",
-        idempotent=True,
+        body=body,
+        idempotent=idempotent,
         priority=1,
         max_attempts=max_attempts,
         arrived_s=now,
@@ -173,3 +196,49 @@
         return _answer(200)(request)
     load = frames.LoadReport(request.server_id, 1, 0, 0, 4, 5.0, 0.0, 0.1)
     return frames.Refusal(request.call_id, "slow", 0.0, load)
+
+
+async def test_large_body_is_sent_to_the_server_that_takes_it(two_servers, scripted):
+    """Guards against a body that crosses a narrow link only to be refused there.
+
+    Answers the load pattern of a surge of uploads: each was sent to five full servers, and
+    the copies congested the links of all of them.
+    """
+    scripted.results = [(0.0, _answer(200))]
+    scripted.offer_results = [_refusal("overloaded"), _acceptance]
+    answered = await two_servers.dispatch(_call(body=b"x" * 60_000, idempotent=False))
+    assert answered.status == 200
+    assert len(scripted.offers) == 2
+    (sent,) = scripted.requests
+    assert sent.offered
+    assert sent.server_id == scripted.offers[1].server_id
+
+
+async def test_booking_is_not_sent_into_a_cut(two_servers, scripted):
+    """Guards against an unknown outcome for a request that another server could run.
+
+    Load pattern: a node is cut off, and nothing was heard of it for a moment.
+    """
+    scripted.heard_s_ago = 5.0
+    scripted.results = [(0.0, _answer(200))]
+    scripted.offer_results = [None, _acceptance]
+    answered = await two_servers.dispatch(_call(idempotent=False))
+    assert answered.status == 200
+    assert len(scripted.requests) == 1
+
+
+async def test_booking_that_no_node_takes_has_not_run(two_servers, scripted):
+    """Guards against an unknown outcome where only offers were sent."""
+    scripted.heard_s_ago = 5.0
+    scripted.offer_results = [None]
+    with pytest.raises(errors.RefusedError):
+        await two_servers.dispatch(_call(idempotent=False))
+    assert scripted.requests == []
+
+
+async def test_small_request_to_a_node_just_heard_is_sent_at_once(two_servers, scripted):
+    """Guards against a further round trip for each request."""
+    scripted.results = [(0.0, _answer(200))]
+    await two_servers.dispatch(_call(idempotent=False))
+    await two_servers.dispatch(_call())
+    assert scripted.offers == []
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -45,6 +45,7 @@
         "priority": 1,
         "work_key": "k",
         "expects_slow": True,
+        "offered": False,
     }
     return frames.Request(**(values | changes))
 
@@ -195,3 +196,38 @@
     await asyncio.sleep(0.4)
     await local.run(_request("1", idempotent=False))
     assert local.connections_opened == opened + 1
+
+
+def _offer(**changes):
+    values: dict[str, Any] = {
+        "call_id": next(CALL),
+        "server_id": "a",
+        "left_s": 2.0,
+        "aim_left_s": 1.0,
+        "idempotent": False,
+        "priority": 1,
+        "work_key": "k",
+        "expects_slow": True,
+    }
+    return frames.Offer(**(values | changes))
+
+
+async def test_accepted_offers_keep_places(local):
+    """Guards against more accepted bodies than the server can take in time.
+
+    Load pattern: a surge of uploads, whose offers all arrive before the first body.
+    """
+    found = [await local.run(_offer(aim_left_s=0.2)) for _ in range(60)]
+    accepted = [each for each in found if isinstance(each, frames.Acceptance)]
+    assert conftest.SLOTS <= len(accepted) < 40
+    refused = [each.reason for each in found if isinstance(each, frames.Refusal)]
+    assert set(refused) == {"overloaded"}
+
+
+async def test_offered_request_is_run(local, backend):
+    """Guards against a body that was accepted and is refused when it arrives."""
+    while isinstance(await local.run(_offer(aim_left_s=0.2)), frames.Acceptance):
+        pass
+    found = await local.run(_request("2", offered=True, aim_left_s=0.2))
+    assert found.status == 200
+    assert backend.runs == ["2"]
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -88,6 +88,7 @@
             "priority": 0,
             "work_key": "k",
             "expects_slow": False,
+            "offered": False,
         }
         frame = frames.Request(**(values | changes))
         return asyncio.create_task(self.peer.call(frame, timeout_s))
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -63,7 +63,9 @@
         rank = self._rank(entry, 0.0)
         return sum(self._rank(other, 0.0) <= rank for other in self._waiting_by_id.values())
 
-    def has_room_for(self, entry: WaitingRequest, now: float, wait_s: float) -> bool:
+    def has_room_for(
+        self, entry: WaitingRequest, now: float, wait_s: float, coming: int = 0
+    ) -> bool:
         """Returns whether it is worth while for a request to wait.
 
         A request that will be late takes a slot from one that would not be, so it waits only
@@ -73,11 +75,12 @@
             entry: the request.
             now: current time.
             wait_s: expected time until a slot is free.
+            coming: requests that were promised a place and have not arrived.
         """
         end_s = now + _WAIT_MARGIN * wait_s + self._work_s(entry.work_key)
         if end_s <= entry.useful_until_s:
             return True
-        return end_s <= entry.deadline_s and not self._waiting_by_id
+        return end_s <= entry.deadline_s and not self._waiting_by_id and not coming
 
     def pop_hopeless(self, now: float) -> list[WaitingRequest]:
         """Removes and returns the requests for which waiting has become useless.
