Do not let late requests keep new ones away

Cause: the expected wait of a new request counted every waiting request whose aim is earlier, also those that had missed it. They go last, and give way to those in time, but as long as only late ones waited, new requests were refused as overloaded and slots went to late work.

Change: late requests are not ahead of those that can be in time.

Test: a new request is not behind six late ones (failed first).

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -278,7 +278,7 @@
     def _expected_wait_s(self, entry: work_queue.WaitingRequest, work_s: float) -> float:
         """Returns the expected time until a slot is free for a request."""
         coming = self.running + self._offered_count()
-        ahead = coming + self._queue.ahead_of(entry) + 1 - self.limit
+        ahead = coming + self._queue.ahead_of(entry, clock.now()) + 1 - self.limit
         return max(ahead, 0) * work_s / self.limit
 
     async def _is_server(self, server_id: str) -> bool:
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
@@ -115,5 +115,19 @@
 def test_ahead_counts_what_goes_first(queue):
     """Guards against estimates of the wait that ignore the order."""
     queue.add(_entry(1, priority=2))
-    assert queue.ahead_of(_entry(2, priority=1)) == 0
-    assert queue.ahead_of(_entry(3, priority=3)) == 1
+    assert queue.ahead_of(_entry(2, priority=1), 0.5) == 0
+    assert queue.ahead_of(_entry(3, priority=3), 0.5) == 1
+
+
+def test_new_request_does_not_wait_for_late_ones(queue):
+    """Guards against refusing a request that can be in time because late ones wait.
+
+    Load pattern: a surge leaves each server a queue of late requests. On
+    csl-dispatch-grown they kept new ones away for seconds after the surge.
+    """
+    for entry_id in range(6):
+        queue.add(_entry(entry_id, aim_s=0.2))
+    fresh = _entry(10, aim_s=1.3)
+    assert queue.ahead_of(fresh, 0.5) == 0
+    queue.add(fresh)
+    assert queue.pop_next(0.5).entry_id == 10
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -58,10 +58,10 @@
         """Removes a request; returns whether it was there."""
         return self._waiting_by_id.pop(entry_id, None) is not None
 
-    def ahead_of(self, entry: WaitingRequest) -> int:
+    def ahead_of(self, entry: WaitingRequest, now: float) -> int:
         """Returns how many waiting requests would go before this one."""
-        rank = self._rank(entry, 0.0)
-        return sum(self._rank(other, 0.0) <= rank for other in self._waiting_by_id.values())
+        rank = self._rank(entry, now)
+        return sum(self._rank(other, now) <= rank for other in self._waiting_by_id.values())
 
     def has_room_for(
         self, entry: WaitingRequest, now: float, wait_s: float, coming: int = 0
@@ -112,5 +112,5 @@
         return best
 
     def _rank(self, entry: WaitingRequest, now: float) -> tuple[bool, int, float]:
-        late = now > 0 and self._is_late(entry, now)
+        late = self._is_late(entry, now)
         return (late, entry.priority, entry.deadline_s if late else entry.aim_s)
