--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -76,6 +76,8 @@
         self._names = names
         self._log = log
         self._metrics = counters
+        self.stopping = False
+        """Whether new requests would be cut by the end of the process."""
         self._split_by_route: dict[tuple[int, str, str], weighted_split.WeightedSplit] = {}
         self._dropped = frozenset(
             {names.timeout_ms, names.target_server, names.caller_service, b"expect"}
@@ -84,6 +86,8 @@
     async def handle(self, received: request.Request) -> answers.Answer:
         """Returns the answer to one request."""
         request_id = received.value_by_name.get(self._names.request_id, b"").decode("latin-1")
+        if self.stopping:
+            return self._refuse(request_id, "stopping", _MIN_RETRY_AFTER_S)
         current = self._current()
         if current is None:
             return self._refuse(request_id, "no-configuration", 0.3)
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -59,6 +59,10 @@
 """A stopping node goes on relaying to the server beside it for this long: in a rolling restart
 of the nodes that server is well, and without it the others carry its load."""
 
+_LAST_CALL_SHARE = 0.5
+"""Share of the grace time after which a stopping node refuses new requests. Callers that hold
+their connections send on until the process is gone, and what runs then needs time to end."""
+
 _STOP_MARGIN_S = 0.5
 """Seconds before the grace time ends, for closing what is left."""
 
@@ -217,6 +221,7 @@
         until_s = started_s + max(self._settings.grace_s - _STOP_MARGIN_S, 0.5)
         while (now := clock.now()) < until_s:
             self._edge_server.begin_drain()
+            self._edge.stopping = now - started_s >= _LAST_CALL_SHARE * self._settings.grace_s
             if now - started_s >= _SERVE_ON_S and not self._local.leaving:
                 self._local.leaving = True
                 self._listener.say_goodbye(self._local.server_id)
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -34,6 +34,7 @@
     server_id=b"x-server",
 )
 SLOTS = 4
+GRACE_S = 3.0
 
 
 class Backend:
@@ -280,7 +281,7 @@
             store_address="",
             memory_bytes=100_000_000,
             max_connections=100,
-            grace_s=3.0,
+            grace_s=GRACE_S,
             repeat_budget=settings.RepeatBudgetSettings(ratio=0.2, slack=60, window_s=10),
         )
         made = node.Node(
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -157,6 +157,28 @@
     assert set(answered) == {200}
 
 
+async def test_stopping_node_refuses_what_it_cannot_end(pair):
+    """Guards against requests that are cut because they came shortly before the end.
+
+    Seen in the soak: callers that hold their connections until the process is gone sent
+    requests until the end of the grace time, and those passed on last were cut.
+    """
+    fleet, (ip, _) = pair
+    for backend in fleet.backends:
+        backend.gate.clear()
+    held = asyncio.create_task(fleet.request(ip, "POST", "/post/1", "held"))
+    await _until(lambda: any(backend.runs for backend in fleet.backends))
+    fleet.nodes[0].request_stop()
+    await asyncio.sleep(0.6 * conftest.GRACE_S)
+    status, values, _ = await fleet.request(ip, "POST", "/post/2", "late")
+    assert status == 503
+    assert float(values["retry-after"]) > 0
+    for backend in fleet.backends:
+        backend.gate.set()
+    assert (await held)[0] in {200, 504}
+    assert not any("late" in backend.runs for backend in fleet.backends)
+
+
 async def test_server_of_a_stopping_node_is_used_on(pair):
     """Guards against losing a server's capacity while only its node restarts.
 
