Share the translation of parser errors and the look at unread bytes

The four HTTP connections of node and mesh each translated the errors of the parser, and both incoming ones asked the socket for unread bytes, with the same code. Both stand once in laburnumford_node.http now.

--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -3,10 +3,7 @@
 import asyncio
 import collections
 import dataclasses
-import fcntl
 import logging
-import sys
-import termios
 from collections.abc import Awaitable, Callable
 from typing import cast
 
@@ -16,7 +13,7 @@
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
 from laburnumford_mesh.http import framing, request
-from laburnumford_node.http import errors, fields
+from laburnumford_node.http import errors, fields, parsing, sockets
 
 Handler = Callable[[request.Request], Awaitable[answers.Answer]]
 """Answers one request. It is cancelled when the caller goes away."""
@@ -102,16 +99,9 @@
             if self.header_started_s is None:
                 self.header_started_s = self.last_activity_s
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(errors.BadMessageError(501, "Upgrade and CONNECT are not supported"))
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if not isinstance(cause, errors.BadMessageError):
-                raise
-            self._fail(cause)
-        except httptools.HttpParserError as error:
-            self._fail(errors.BadMessageError(400, f"invalid HTTP message: {error}"))
+            parsing.feed_request(self._parser, data)
+        except errors.BadMessageError as error:
+            self._fail(error)
         else:
             if self._in_header_section and self._section_bytes > self._limits().header_bytes:
                 self._fail(errors.BadMessageError(431, "header section is too large"))
@@ -222,11 +212,7 @@
 
     def has_unread_bytes(self) -> bool:
         """Returns whether the socket holds bytes that were not read."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        found = self._transport.get_extra_info("socket")
-        pending = fcntl.ioctl(found.fileno(), termios.FIONREAD, b"\0" * 4)
-        return int.from_bytes(pending, sys.byteorder) > 0
+        return sockets.has_unread_bytes(self._transport)
 
     def close(self) -> None:
         """Closes the connection after the bytes written so far."""
--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -7,7 +7,7 @@
 
 from laburnumford_mesh import clock
 from laburnumford_mesh.http import answer as answers
-from laburnumford_node.http import errors, fields
+from laburnumford_node.http import errors, fields, parsing
 
 _BODYLESS_STATUSES = frozenset({204, 304})
 _DEFAULT_KEEP_ALIVE_S = 5.0
@@ -65,16 +65,9 @@
             self._poison()
             return
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(errors.BadMessageError(502, "answer 101 without a request for it"))
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if not isinstance(cause, errors.HttpError):
-                raise
-            self._fail(cause)
-        except httptools.HttpParserError as error:
-            self._fail(errors.BadMessageError(502, f"invalid HTTP answer: {error}"))
+            parsing.feed_answer(self._parser, data)
+        except errors.BadMessageError as error:
+            self._fail(error)
 
     def eof_received(self) -> bool:
         """Ends an answer whose length is the connection's end."""
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -12,6 +12,7 @@
     buffer_limit,
     errors,
     fields,
+    parsing,
     response,
 )
 
@@ -63,16 +64,9 @@
             self.close()
             return
         try:
-            self._parser.feed_data(_read_buffer.READ_BUFFER[:nbytes])
-        except httptools.HttpParserUpgrade:
-            self._fail(errors.BadMessageError(502, "answer 101 without a request for it"))
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if not isinstance(cause, errors.BadMessageError):
-                raise
-            self._fail(cause)
-        except httptools.HttpParserError as error:
-            self._fail(errors.BadMessageError(502, f"invalid HTTP answer: {error}"))
+            parsing.feed_answer(self._parser, _read_buffer.READ_BUFFER[:nbytes])
+        except errors.BadMessageError as error:
+            self._fail(error)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange in progress."""
--- a/packages/node/src/laburnumford_node/http/server_connection.py
+++ b/packages/node/src/laburnumford_node/http/server_connection.py
@@ -3,9 +3,6 @@
 import asyncio
 import collections
 import contextlib
-import fcntl
-import sys
-import termios
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
@@ -18,7 +15,9 @@
     buffer_limit,
     errors,
     fields,
+    parsing,
     request,
+    sockets,
 )
 
 Handler = Callable[[request.Request, "ServerConnection"], Awaitable[None]]
@@ -102,16 +101,9 @@
         if self._reading_body is None:
             self._section_bytes += nbytes
         try:
-            self._parser.feed_data(_read_buffer.READ_BUFFER[:nbytes])
-        except httptools.HttpParserUpgrade:
-            self._fail(errors.BadMessageError(501, "Upgrade and CONNECT are not supported"))
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if not isinstance(cause, errors.BadMessageError):
-                raise
-            self._fail(cause)
-        except httptools.HttpParserError as error:
-            self._fail(errors.BadMessageError(400, f"invalid HTTP message: {error}"))
+            parsing.feed_request(self._parser, _read_buffer.READ_BUFFER[:nbytes])
+        except errors.BadMessageError as error:
+            self._fail(error)
         else:
             if self._in_header_section and self._section_bytes > self._header_bytes:
                 self._fail(self._too_large())
@@ -227,16 +219,9 @@
         """
         self._draining = True
         idle_s = self._clock() - self.last_activity_s
-        if self.idle and idle_s >= idle_for_s and not self._has_unread_bytes():
+        if self.idle and idle_s >= idle_for_s and not sockets.has_unread_bytes(self._transport):
             self.close()
 
-    def _has_unread_bytes(self) -> bool:
-        if self._transport is None or self._transport.is_closing():
-            return False
-        found = self._transport.get_extra_info("socket")
-        pending = fcntl.ioctl(found.fileno(), termios.FIONREAD, b"\0" * 4)
-        return int.from_bytes(pending, sys.byteorder) > 0
-
     @property
     def task(self) -> asyncio.Task[None] | None:
         """The task of the connection, for the server that owns it."""
--- /dev/null
+++ b/packages/node/src/laburnumford_node/http/sockets.py
@@ -0,0 +1,15 @@
+"""What the operating system knows of a connection."""
+
+import asyncio
+import fcntl
+import sys
+import termios
+
+
+def has_unread_bytes(transport: asyncio.Transport | None) -> bool:
+    """Returns whether the socket of an open transport holds bytes that were not read."""
+    if transport is None or transport.is_closing():
+        return False
+    found = transport.get_extra_info("socket")
+    pending = fcntl.ioctl(found.fileno(), termios.FIONREAD, b"\0" * 4)
+    return int.from_bytes(pending, sys.byteorder) > 0
