Keep running means by key in one class

Placement wrote the same weighted mean twice, for times and for sizes of answers, and the server beside a node a third time. No change of behavior.

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -20,7 +20,7 @@
 from laburnumford_mesh.http import server_connection, server_pool
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
-from laburnumford_policy.placement import knee_limit, start_policy, work_queue
+from laburnumford_policy.placement import knee_limit, running_means, start_policy, work_queue
 
 _CONNECT_TIMEOUT_S = 0.5
 """Seconds; the server is on the same VM and takes 1 ms."""
@@ -100,7 +100,7 @@
         self._report_ids = itertools.count()
         self._detached: set[asyncio.Task[Any]] = set()
         self._offered_until_s: collections.deque[float] = collections.deque()
-        self._work_s_by_key: dict[str, float] = {}
+        self._work_s = running_means.RunningMeans(weight=_WORK_WEIGHT)
         self._usual_work_s = 0.0
         self._speed = server_speed.ServerSpeed()
         self._health_path = ""
@@ -435,11 +435,10 @@
     def _observe_work(self, work_key: str, work_s: float) -> None:
         usual = self._usual_work_s or work_s
         self._usual_work_s = usual + _WORK_WEIGHT * (work_s - usual)
-        known = self._work_s_by_key.get(work_key, work_s)
-        self._work_s_by_key[work_key] = known + _WORK_WEIGHT * (work_s - known)
+        self._work_s.observe(work_key, work_s)
 
     def _expected_work_s(self, work_key: str) -> float:
-        return self._work_s_by_key.get(work_key, _DEFAULT_WORK_S)
+        return self._work_s.mean(work_key, _DEFAULT_WORK_S)
 
     def _end_run(self) -> None:
         self.running -= 1
--- a/packages/policy/src/laburnumford_policy/placement/placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/placement.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Collection, Iterable
 
-from laburnumford_policy.placement import server_view
+from laburnumford_policy.placement import running_means, server_view
 
 _COLD_FACTOR = 2.0
 """Servers that have just started are about this much slower until they are warm."""
@@ -40,8 +40,8 @@
 
     def __init__(self, *, generator: random.Random) -> None:
         self._generator = generator
-        self._work_s_by_key: dict[str, float] = {}
-        self._answer_bytes_by_key: dict[str, float] = {}
+        self._work_s = running_means.RunningMeans(weight=_WORK_WEIGHT)
+        self._answer_bytes = running_means.RunningMeans(weight=_WORK_WEIGHT)
         self.views_by_id: dict[str, server_view.ServerView] = {}
 
     def apply(self, views: Iterable[server_view.ServerView]) -> None:
@@ -52,17 +52,12 @@
 
     def observe_work(self, work_key: str, work_s: float, answer_bytes: int) -> None:
         """Learns how long the work of a kind takes and how large its answers are."""
-        size = self._answer_bytes_by_key.get(work_key, answer_bytes)
-        self._answer_bytes_by_key[work_key] = size + _WORK_WEIGHT * (answer_bytes - size)
-        known = self._work_s_by_key.get(work_key)
-        if known is None:
-            self._work_s_by_key[work_key] = work_s
-        else:
-            self._work_s_by_key[work_key] = known + _WORK_WEIGHT * (work_s - known)
+        self._answer_bytes.observe(work_key, answer_bytes)
+        self._work_s.observe(work_key, work_s)
 
     def work_s(self, work_key: str, default_s: float) -> float:
         """Returns the mean time that the work of a kind took."""
-        return self._work_s_by_key.get(work_key, default_s)
+        return self._work_s.mean(work_key, default_s)
 
     def choose(
         self,
@@ -83,7 +78,7 @@
             excluded: ids of servers that are out of question.
             aim_left_s: time until the answer loses worth.
         """
-        kilobytes = (body_bytes + self._answer_bytes_by_key.get(work_key, 0.0)) / 1000.0
+        kilobytes = (body_bytes + self._answer_bytes.mean(work_key, 0.0)) / 1000.0
         zone_cost_s = min(
             kilobytes * _ZONE_COST_S_PER_KB,
             max(_MAX_ZONE_COST_S, _MAX_ZONE_COST_AIM_SHARE * aim_left_s),
--- /dev/null
+++ b/packages/policy/src/laburnumford_policy/placement/running_means.py
@@ -0,0 +1,22 @@
+"""Running means by key, such as the time that the work of each kind takes."""
+
+
+class RunningMeans:
+    """Keeps an exponentially weighted mean for each key; the first value starts it.
+
+    Args:
+        weight: weight of one value; about the last 1 / weight values count.
+    """
+
+    def __init__(self, *, weight: float) -> None:
+        self._weight = weight
+        self._mean_by_key: dict[str, float] = {}
+
+    def observe(self, key: str, value: float) -> None:
+        """Takes a value over."""
+        known = self._mean_by_key.get(key, value)
+        self._mean_by_key[key] = known + self._weight * (value - known)
+
+    def mean(self, key: str, default: float) -> float:
+        """Returns the mean of a key, or the default without any value."""
+        return self._mean_by_key.get(key, default)
