Split nodes by zone when entries change, not at each beacon

Each beacon, five a second, and each piece of news sorted all known addresses. The split into the own and other zones is made when entries change now. A node without an entry counts as one of another zone, as before.

--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -87,12 +87,8 @@
         self._checked_s = clock.now()
         self._pull_revision: int | None = None
         self._closed = False
-        self.down_since_s: float | None = None
-
-    @property
-    def unreachable(self) -> bool:
+        self.unreachable = False
         """Whether the last try to connect failed."""
-        return self.down_since_s is not None
 
     def quiet_s(self) -> float:
         """Returns the time since the node was heard on the stream."""
@@ -214,7 +210,7 @@
                 return
             await asyncio.sleep(_RETRY_CONNECT_S)
         # The next call or beacon tries again.
-        self.down_since_s = None
+        self.unreachable = False
         self._pull_revision = None
 
     async def _connect(self) -> bool:
@@ -248,15 +244,14 @@
         except (OSError, TimeoutError):
             if connected is not None:
                 connected.abort()
-            if self.down_since_s is None:
-                self.down_since_s = clock.now()
+            self.unreachable = True
             self._give_back_unsent()
             return False
         except asyncio.CancelledError:
             if connected is not None:
                 connected.abort()
             raise
-        self.down_since_s = None
+        self.unreachable = False
         self._link = connected
         self._resume(connected)
         return True
--- a/packages/mesh/src/laburnumford_mesh/peers.py
+++ b/packages/mesh/src/laburnumford_mesh/peers.py
@@ -46,17 +46,22 @@
         self._on_goodbye = on_goodbye
         self._on_suspect = on_suspect
         self._peer_by_ip: dict[str, peer.Peer] = {}
-        self._zone_by_ip: dict[str, str] = {}
+        self._listed_ips: frozenset[str] = frozenset()
+        self._near_ips: list[str] = []
+        self._far_ips: list[str] = []
         self._heard_s_by_ip: dict[str, float] = {}
 
     @property
     def count(self) -> int:
         """Number of nodes that the entries name, this one not counted."""
-        return len(self._zone_by_ip)
+        return len(self._listed_ips)
 
     def apply(self, zone_by_ip: Mapping[str, str]) -> None:
         """Takes over the addresses of all VMs with a backend server, and their zones."""
-        self._zone_by_ip = {ip: zone for ip, zone in zone_by_ip.items() if ip != self._own_ip}
+        self._listed_ips = frozenset(zone_by_ip) - {self._own_ip}
+        ordered = sorted(self._listed_ips)
+        self._near_ips = [ip for ip in ordered if zone_by_ip[ip] == self._own_zone]
+        self._far_ips = [ip for ip in ordered if zone_by_ip[ip] != self._own_zone]
 
     def observe_heard(self, ip: str) -> None:
         """Remembers that a node sent something."""
@@ -80,15 +85,15 @@
     def sample(self, count: int) -> list[str]:
         """Returns some random addresses of other nodes, most of them in the own zone."""
         now = clock.now()
-        known = set(self._zone_by_ip)
+        unlisted: list[str] = []
         for ip, heard_s in list(self._heard_s_by_ip.items()):
             if now - heard_s > _HEARD_S:
                 del self._heard_s_by_ip[ip]
-            else:
-                known.add(ip)
-        near = [ip for ip in sorted(known) if self._zone_by_ip.get(ip) == self._own_zone]
-        far = sorted(known.difference(near))
-        return spread.choose_targets(self._generator, near=near, far=far, count=count)
+            elif ip not in self._listed_ips:
+                unlisted.append(ip)
+        # The zone of a node without an entry is not known.
+        far = [*self._far_ips, *unlisted]
+        return spread.choose_targets(self._generator, near=self._near_ips, far=far, count=count)
 
     async def run(self) -> None:
         """Checks all streams until it is cancelled."""
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -35,7 +35,6 @@
         self.server_id = server_id
         self.distance_s = distance_s
         self.other_zone = other_zone
-        self.slots = slots
         self.cold_until_s = 0.0
         self.blocked_until_s = 0.0
         self.outstanding = 0
