--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
@@ -4,24 +4,20 @@
 
 import pytest
 
+from laburnumford_mesh.tests import waiting
+
 
 def _get(path, *more):
     lines = [f"GET {path} HTTP/1.1", "Host: h", *more, "", ""]
     return "\r\n".join(lines).encode()
 
 
-async def _until(condition):
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 async def test_pipelined_requests_run_side_by_side_and_answer_in_order(edge):
     """Guards against a slow request that holds up the start of those behind it."""
     first = edge.gate("/1")
     caller = await edge.caller()
     caller.send(_get("/1") + _get("/2") + _get("/3"))
-    await _until(lambda: len(edge.requests) == 3)
+    await waiting.until(lambda: len(edge.requests) == 3)
     first.set()
     assert [(await caller.answer())[2] for _ in range(3)] == [b"/1", b"/2", b"/3"]
 
@@ -42,9 +38,9 @@
     edge.gate("/1")
     caller = await edge.caller()
     caller.send(_get("/1"))
-    await _until(lambda: edge.requests)
+    await waiting.until(lambda: edge.requests)
     caller.writer.close()
-    await _until(lambda: edge.cancelled == ["/1"])
+    await waiting.until(lambda: edge.cancelled == ["/1"])
 
 
 @pytest.mark.parametrize(
@@ -80,7 +76,7 @@
     first = edge.gate("/1")
     caller = await edge.caller()
     caller.send(_get("/1") + b"nonsense\r\n\r\n")
-    await _until(lambda: edge.requests)
+    await waiting.until(lambda: edge.requests)
     first.set()
     assert (await caller.answer())[0] == 200
     assert (await caller.answer())[0] == 400
@@ -100,14 +96,14 @@
     gate = edge.gate("/2")
     caller = await edge.caller()
     caller.send(_get("/1") + _get("/2"))
-    await _until(lambda: len(edge.requests) == 2)
+    await waiting.until(lambda: len(edge.requests) == 2)
     edge.server.begin_drain()
     assert not edge.server.quiet()
     gate.set()
     assert b"connection" not in (await caller.answer())[1]
     assert (await caller.answer())[1][b"connection"] == b"close"
     assert await caller.closed() == b""
-    await _until(edge.server.quiet)
+    await waiting.until(edge.server.quiet)
 
 
 async def test_slow_header_section_gets_a_timeout(edge):
@@ -123,7 +119,7 @@
     post = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90000
     first = await edge.caller()
     first.send(post)
-    await _until(lambda: edge.requests)
+    await waiting.until(lambda: edge.requests)
     second = await edge.caller()
     second.send(post)
     assert (await second.answer())[0] == 503
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -7,7 +7,7 @@
 import pytest
 
 from laburnumford_mesh import frames, local_server
-from laburnumford_mesh.tests import conftest
+from laburnumford_mesh.tests import conftest, waiting
 
 CALL = iter(range(1, 10_000))
 
@@ -50,12 +50,6 @@
     return frames.Request(**(values | changes))
 
 
-async def _until(condition):
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 async def test_answer_passes_unchanged(local, backend):
     """Guards against answers without the server's signature or body."""
     found = await local.run(_request())
@@ -73,18 +67,18 @@
     await local.run(_request("0"))
     backend.slowness = 1000
     await asyncio.sleep(0.05)
-    waiting = asyncio.create_task(local.run(_request("1")))
-    await _until(lambda: backend.health_checks > 1)
+    held = asyncio.create_task(local.run(_request("1")))
+    await waiting.until(lambda: backend.health_checks > 1)
     assert backend.runs == ["0"]
     backend.slowness = 100
-    assert (await waiting).status == 200
+    assert (await held).status == 200
 
 
 async def test_sender_that_does_not_know_of_the_spell_is_told(local, backend):
     """Guards against holding a request that another server could run at once."""
     backend.slowness = 1000
     task = asyncio.create_task(local.run(_request("0")))
-    await _until(lambda: backend.health_checks)
+    await waiting.until(lambda: backend.health_checks)
     await asyncio.sleep(0.01)
     found = await local.run(_request("1", expects_slow=False))
     assert found.reason == "slow"
@@ -96,7 +90,7 @@
     """Guards against more requests at the server than it has slots for."""
     backend.gate.clear()
     tasks = [asyncio.create_task(local.run(_request(str(i)))) for i in range(10)]
-    await _until(lambda: len(backend.runs) == local.limit)
+    await waiting.until(lambda: len(backend.runs) == local.limit)
     await asyncio.sleep(0.05)
     assert len(backend.runs) == local.limit
     backend.gate.set()
@@ -108,22 +102,22 @@
     """Guards against work for nobody."""
     backend.gate.clear()
     task = asyncio.create_task(local.run(_request()))
-    await _until(lambda: backend.runs)
+    await waiting.until(lambda: backend.runs)
     task.cancel()
-    await _until(lambda: backend.broken == ["1"])
-    await _until(lambda: local.running == 0)
+    await waiting.until(lambda: backend.broken == ["1"])
+    await waiting.until(lambda: local.running == 0)
 
 
 async def test_caller_that_leaves_does_not_break_other_work(local, backend):
     """Guards against a booking that is broken off midway, with nobody knowing its end."""
     backend.gate.clear()
     task = asyncio.create_task(local.run(_request(idempotent=False)))
-    await _until(lambda: backend.runs)
+    await waiting.until(lambda: backend.runs)
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await task
     backend.gate.set()
-    await _until(lambda: local.running == 0)
+    await waiting.until(lambda: local.running == 0)
     assert backend.broken == []
 
 
@@ -180,7 +174,7 @@
     for index in range(20):
         backend.gate.clear()
         task = asyncio.create_task(local.run(_request(str(index))))
-        await _until(lambda: len(backend.runs) > index)  # noqa: B023
+        await waiting.until(lambda: len(backend.runs) > index)  # noqa: B023
         await asyncio.sleep(0.02)
         backend.gate.set()
         await task
@@ -245,9 +239,7 @@
         asyncio.create_task(local.run(_request(str(index), left_s=8.0, aim_left_s=6.0)))
         for index in range(conftest.SLOTS + 2)
     ]
-    async with asyncio.timeout(5):
-        while not local.waiting or not backend.runs:
-            await asyncio.sleep(0.01)
+    await waiting.until(lambda: local.waiting and backend.runs)
     local.observe_draining(draining=True)
     done, _ = await asyncio.wait(calls, timeout=2.0)
     assert done
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -4,13 +4,7 @@
 
 import pytest
 
-from laburnumford_mesh.tests import conftest
-
-
-async def _until(condition):
-    async with asyncio.timeout(8):
-        while not condition():
-            await asyncio.sleep(0.01)
+from laburnumford_mesh.tests import conftest, waiting
 
 
 @pytest.fixture
@@ -19,7 +13,9 @@
     addresses = [await fleet.add(index) for index in range(2)]
     for address in addresses:
         await fleet.ready(address)
-    await _until(lambda: all(made.server_count("s") == 2 for made in fleet.nodes))
+    await waiting.until(
+        lambda: all(made.server_count("s") == 2 for made in fleet.nodes), within_s=8.0
+    )
     return fleet, addresses
 
 
@@ -102,7 +98,9 @@
                 await asyncio.sleep(0.02)
     leaving = fleet.backends[0]
     fleet.publish("servers/0", conftest.make_entry("server-0", leaving.address, draining=True))
-    await _until(lambda: all(made.server_count("s") == 1 for made in fleet.nodes))
+    await waiting.until(
+        lambda: all(made.server_count("s") == 1 for made in fleet.nodes), within_s=8.0
+    )
     leaving.runs.clear()
     for ip in addresses:
         assert (await fleet.request(ip, "GET", "/new/get/1", f"d{ip}"))[0] == 200
@@ -122,7 +120,9 @@
     """Guards against a node that cannot start again during an outage of the store."""
     fleet, _ = pair
     fleet.publish("servers/2", conftest.make_entry("server-2", f"{fleet.ip(2)}:1"))
-    await _until(lambda: all(made.server_count("s") == 3 for made in fleet.nodes))
+    await waiting.until(
+        lambda: all(made.server_count("s") == 3 for made in fleet.nodes), within_s=8.0
+    )
     fleet.store.down = True
     await fleet.ready(await fleet.add(2))
 
@@ -142,7 +142,7 @@
     for backend in fleet.backends:
         backend.gate.clear()
     request = asyncio.create_task(fleet.request(ip, "POST", "/post/1", "1"))
-    await _until(lambda: any(backend.runs for backend in fleet.backends))
+    await waiting.until(lambda: any(backend.runs for backend in fleet.backends), within_s=8.0)
     fleet.nodes[0].request_stop()
     await asyncio.sleep(0.2)
     assert (await fleet.request(ip, "GET", "/", "r", port=17001))[0] == 503
@@ -167,7 +167,7 @@
     for backend in fleet.backends:
         backend.gate.clear()
     held = asyncio.create_task(fleet.request(ip, "POST", "/post/1", "held"))
-    await _until(lambda: any(backend.runs for backend in fleet.backends))
+    await waiting.until(lambda: any(backend.runs for backend in fleet.backends), within_s=8.0)
     fleet.nodes[0].request_stop()
     await asyncio.sleep(0.6 * conftest.GRACE_S)
     status, values, _ = await fleet.request(ip, "POST", "/post/2", "late")
@@ -189,7 +189,9 @@
     # Between two idle servers the choice is random, so the other one is taken out.
     drains = conftest.make_entry("server-1", fleet.backends[1].address, draining=True)
     fleet.publish("servers/1", drains)
-    await _until(lambda: all(made.server_count("s") == 1 for made in fleet.nodes))
+    await waiting.until(
+        lambda: all(made.server_count("s") == 1 for made in fleet.nodes), within_s=8.0
+    )
     fleet.nodes[0].request_stop()
     await asyncio.sleep(0.1)
     for index in range(20):
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -10,6 +10,7 @@
 import pytest
 
 from laburnumford_mesh import errors, frames, peer, peer_listener
+from laburnumford_mesh.tests import waiting
 from laburnumford_testkit.faultproxy import faults, proxy
 
 LOAD = frames.LoadReport("a", 1, 0, 0, 4, 1.0, 0.0, 0.0)
@@ -99,12 +100,6 @@
         await self.peer.close()
 
 
-async def _until(condition):
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 def _stand_still(seconds):
     """Blocks the event loop, as a process does that is not scheduled."""
     time.sleep(seconds)
@@ -122,7 +117,7 @@
     sender = Sender(receiver.port)
     receiver.gate.clear()
     calls = [sender.call() for _ in range(5)]
-    await _until(lambda: len(receiver.runs) == 5)
+    await waiting.until(lambda: len(receiver.runs) == 5)
     for _ in range(3):
         sender.peer.drop_stream()
         await asyncio.sleep(0.1)
@@ -145,7 +140,7 @@
     sender = Sender(int(between.address.rpartition(":")[2]), check_interval_s)
     receiver.gate.clear()
     call = sender.call()
-    await _until(lambda: receiver.runs)
+    await waiting.until(lambda: receiver.runs)
     held = faults.DirectionFaults(pause=True)
     # Streams by an own proxy: the new stream goes around the silent one.
     between.set_faults(faults.Faults(to_target=held, to_caller=held))
@@ -184,7 +179,7 @@
     sender = Sender(receiver.port, math.inf)
     receiver.gate.clear()
     call = sender.call()
-    await _until(lambda: receiver.runs)
+    await waiting.until(lambda: receiver.runs)
     sender.peer.check()
     await asyncio.sleep(peer.CHECK_INTERVAL_S)
     sender.peer.check()
@@ -219,7 +214,7 @@
     sender = Sender(receiver.port)
     receiver.gate.clear()
     call = sender.call()
-    await _until(lambda: receiver.runs)
+    await waiting.until(lambda: receiver.runs)
     port = receiver.port
     await receiver.listener.close()
     await receiver.start(incarnation=8, port=port)
@@ -258,7 +253,7 @@
     sender = Sender(receiver.port)
     receiver.gate.clear()
     call = sender.call()
-    await _until(lambda: receiver.runs)
+    await waiting.until(lambda: receiver.runs)
     call.cancel()
-    await _until(lambda: receiver.listener.in_work == 0)
+    await waiting.until(lambda: receiver.listener.in_work == 0)
     await sender.close()
