--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -346,7 +346,7 @@
             offered=False,
         )
         if entry is None:
-            return frames.Refusal(frame.call_id, "no-server", 0.0, self._local.report())
+            return self._local.refusal(frame.call_id, "no-server")
         if entry.address == self._server_address:
             found: Result = await self._local.run(frame)
             return found
@@ -365,7 +365,7 @@
         try:
             return await target.call(frame, ongoing.deadline_s - clock.now())
         except errors.RefusedError as error:
-            return frames.Refusal(frame.call_id, error.reason, 0.0, self._local.report())
+            return self._local.refusal(frame.call_id, error.reason)
         except errors.UnknownOutcomeError as error:
             return frames.Unknown(frame.call_id, error.reason, self._local.report())
 
@@ -387,10 +387,10 @@
         try:
             result = await target.offer(offer, min(_OFFER_TIMEOUT_S, frame.left_s))
         except errors.RefusedError as error:
-            return frames.Refusal(frame.call_id, error.reason, 0.0, self._local.report())
+            return self._local.refusal(frame.call_id, error.reason)
         except errors.UnknownOutcomeError:
             # Only the offer was sent, so the request has not run whatever became of it.
-            return frames.Refusal(frame.call_id, _OFFER_SILENT_REASON, 0.0, self._local.report())
+            return self._local.refusal(frame.call_id, _OFFER_SILENT_REASON)
         return result if isinstance(result, frames.Refusal) else None
 
     def _learn(
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -1,7 +1,6 @@
 """The backend server beside this node: order, limit and exchange."""
 
 import asyncio
-import collections
 import itertools
 import math
 from collections.abc import Callable
@@ -13,6 +12,7 @@
     event_log,
     frames,
     load_header,
+    server_request,
     server_speed,
     wire_names,
 )
@@ -20,7 +20,13 @@
 from laburnumford_mesh.http import server_connection, server_pool
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
-from laburnumford_policy.placement import knee_limit, running_means, start_policy, work_queue
+from laburnumford_policy.placement import (
+    kept_places,
+    knee_limit,
+    running_means,
+    start_policy,
+    work_queue,
+)
 
 _CONNECT_TIMEOUT_S = 0.5
 """Seconds; the server is on the same VM and takes 1 ms."""
@@ -61,10 +67,6 @@
 """Seconds after which nothing starts on a draining server. Half of the shortest published time
 in which requests have to stay away; those that wait then find another server."""
 
-_OFFER_HOLD_S = 0.5
-"""Seconds that a place is kept for an accepted request: 60 kB take 0.1 s on a link of 5 Mbit/s,
-and other bodies may be on their way over it."""
-
 _DEADLINE_GRACE_S = 0.03
 """The server's own answer at the deadline arrives a moment after it."""
 
@@ -99,7 +101,7 @@
         self._entry_ids = itertools.count()
         self._report_ids = itertools.count()
         self._detached: set[asyncio.Task[Any]] = set()
-        self._offered_until_s: collections.deque[float] = collections.deque()
+        self._kept = kept_places.KeptPlaces()
         self._work_s = running_means.RunningMeans(weight=_WORK_WEIGHT)
         self._usual_work_s = 0.0
         self._speed = server_speed.ServerSpeed()
@@ -162,6 +164,10 @@
             self._speed.current().slow_for_s,
         )
 
+    def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
+        """Returns a refusal of a call."""
+        return frames.Refusal(call_id, reason, retry_after_s, self.report())
+
     async def run(self, request: frames.Request | frames.Offer) -> Any:
         """Runs a request, or considers an offer; returns the frame that answers it."""
         if isinstance(request, frames.Offer):
@@ -171,9 +177,7 @@
         try:
             await self._take_slot(request, started_s, deadline_s)
         except errors.RefusedError as error:
-            return frames.Refusal(
-                request.call_id, error.reason, error.retry_after_s, self.report()
-            )
+            return self.refusal(request.call_id, error.reason, error.retry_after_s)
         exchange = asyncio.get_running_loop().create_task(self._exchange(request, deadline_s))
         self._detached.add(exchange)
         exchange.add_done_callback(self._detached.discard)
@@ -204,17 +208,10 @@
         try:
             await self._admit(offer, started_s, started_s + offer.left_s, offered=False)
         except errors.RefusedError as error:
-            return frames.Refusal(offer.call_id, error.reason, error.retry_after_s, self.report())
-        self._offered_until_s.append(clock.now() + _OFFER_HOLD_S)
+            return self.refusal(offer.call_id, error.reason, error.retry_after_s)
+        self._kept.keep(clock.now())
         return frames.Acceptance(offer.call_id, self.report())
 
-    def _offered_count(self) -> int:
-        """Returns how many accepted requests are on their way."""
-        now = clock.now()
-        while self._offered_until_s and self._offered_until_s[0] < now:
-            self._offered_until_s.popleft()
-        return len(self._offered_until_s)
-
     async def _admit(
         self,
         request: frames.Request | frames.Offer,
@@ -252,17 +249,16 @@
             work_key=request.work_key,
         )
         wait_s = self._expected_wait_s(entry, work_s)
-        if not offered and not self._queue.has_room_for(
-            entry, started_s, wait_s, self._offered_count()
-        ):
+        coming = self._kept.count(started_s)
+        if not offered and not self._queue.has_room_for(entry, started_s, wait_s, coming):
             raise errors.RefusedError("overloaded", wait_s)
         return entry
 
     async def _take_slot(
         self, request: frames.Request, started_s: float, deadline_s: float
     ) -> None:
-        if request.offered and self._offered_count():
-            self._offered_until_s.popleft()
+        if request.offered:
+            self._kept.use(started_s)
         entry = await self._admit(request, started_s, deadline_s, offered=request.offered)
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._grant_by_id[entry.entry_id] = granted
@@ -296,8 +292,9 @@
 
     def _expected_wait_s(self, entry: work_queue.WaitingRequest, work_s: float) -> float:
         """Returns the expected time until a slot is free for a request."""
-        coming = self.running + self._offered_count()
-        ahead = coming + self._queue.ahead_of(entry, clock.now()) + 1 - self.limit
+        now = clock.now()
+        coming = self.running + self._kept.count(now)
+        ahead = coming + self._queue.ahead_of(entry, now) + 1 - self.limit
         return max(ahead, 0) * work_s / self.limit
 
     async def _is_server(self, server_id: str) -> bool:
@@ -335,15 +332,15 @@
                 if not self._lost:
                     self._lost = True
                     self._log.write("server_lost", server=request.server_id)
-                return frames.Refusal(request.call_id, "server-down", 0.0, self.report())
+                return self.refusal(request.call_id, "server-down")
             sent_s = clock.now()
             left_s = deadline_s - sent_s
             if left_s <= 0:
-                return frames.Refusal(request.call_id, "deadline", 0.0, self.report())
+                return self.refusal(request.call_id, "deadline")
             async with asyncio.timeout(left_s + _DEADLINE_GRACE_S):
                 answer = await connection.send(
                     request.method,
-                    self._encode(request, left_s),
+                    server_request.encode(request, self._names, left_s),
                     fields.get(request.fields, self._names.request_id),
                 )
             self.runs_count += 1
@@ -360,7 +357,7 @@
             self._close(connection)
             return frames.Unknown(request.call_id, "server-timeout", self.report())
         except http_errors.ConnectError as error:
-            return frames.Refusal(request.call_id, str(error), 0.0, self.report())
+            return self.refusal(request.call_id, str(error))
         except http_errors.HttpError as error:
             self._log.write("answer_broken", server=request.server_id, error=str(error))
             return frames.Unknown(request.call_id, "answer-broken", self.report())
@@ -377,20 +374,6 @@
         if connection is not None:
             connection.close()
 
-    def _encode(self, request: frames.Request, left_s: float) -> bytes:
-        names = self._names
-        head = [
-            *request.fields,
-            (names.timeout_ms, b"%d" % max(int(left_s * 1000), 1)),
-            (names.target_server, request.server_id.encode()),
-        ]
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            head.append((b"content-length", str(len(request.body)).encode()))
-        return (
-            fields.encode(b"%b %b HTTP/1.1" % (request.method, request.target), head)
-            + request.body
-        )
-
     def _judge(
         self,
         request: frames.Request,
@@ -403,7 +386,7 @@
         if answer.status == 421 or self._names.not_run in value_by_name:
             self._observe_identity(value_by_name.get(self._names.server_id))
             reason = "misdirected" if answer.status == 421 else "server-refused"
-            return frames.Refusal(request.call_id, reason, 0.0, self.report())
+            return self.refusal(request.call_id, reason)
         if answer.status < 300 and self._names.signature not in value_by_name:
             return frames.Unknown(request.call_id, "answer-unsigned", self.report())
         if answer.status < 300:
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -68,6 +68,10 @@
         """Returns a report that concerns none of the servers."""
         return frames.LoadReport("own", 1, 0, 0, 1, 1.0, 0.0, 0.0)
 
+    def refusal(self, call_id, reason):
+        """Returns a refusal of a call."""
+        return frames.Refusal(call_id, reason, 0.0, self.report())
+
 
 def _report(request):
     return frames.LoadReport(request.server_id, 1, 0, 0, 4, 1.0, 0.0, 0.0)
