Bound everything that is read for one exchange, on every connection

Cause: a server that sends bytes that are no answer until its caller closes filled the memory of the node: head lines, chunked bodies, bodies to the end of the connection or of a huge declared length grew without a limit; chunk sizes, trailers and informational answers were read on for ever. On the edge, chunk sizes, extensions and trailers had no limit, and a body could come byte by byte for as long as the caller liked. A stream between nodes buffered 72 MB for anyone who announced it, and compressed values had no limit when decompressed.

The edge limits framing inside a body and answers 408 to a body that is too slow. The first frame of a stream is at most 64 bytes. A connection that the server resets before anything was written is a refusal (server-full), and the server is not down.

--- a/packages/mesh/src/laburnumford_mesh/errors.py
+++ b/packages/mesh/src/laburnumford_mesh/errors.py
@@ -19,6 +19,10 @@
     """A published value or setting is invalid; names the field, the value and what is allowed."""
 
 
+class SettingsError(MeshError):
+    """A setting is out of range; names the setting, the value and what is allowed."""
+
+
 class AttemptError(MeshError):
     """An attempt to run a request got no answer.
 
--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -12,7 +12,7 @@
 from laburnumford_mesh import clock
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import framing, request
+from laburnumford_mesh.http import buffer_budget, framing, read_meter, request
 from laburnumford_node.http import errors, fields, parsing, sockets
 
 Handler = Callable[[request.Request], Awaitable[answers.Answer]]
@@ -29,6 +29,9 @@
 """Delay of the close after the last answer. Closing while request bytes are unread resets the
 connection, and the caller may lose the answer."""
 
+_MIN_BODY_BYTES_PER_S = 10_000
+"""Rate below which a body counts as too slow once the idle timeout has passed."""
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -50,8 +53,7 @@
         handler: answers a request.
         limits: returns the current limits.
         on_closed: called once when the connection is closed.
-        reserve_buffer: called with the number of body bytes to reserve, negative to release
-            them; returns whether the buffer has space for them.
+        budget: limit on the request bodies that all connections buffer.
 
     Attributes:
         last_activity_s: time of `clock.now` when bytes were last received or written.
@@ -65,12 +67,13 @@
         handler: Handler,
         limits: Callable[[], limits_module.Limits],
         on_closed: Callable[["EdgeConnection"], None],
-        reserve_buffer: Callable[[int], bool],
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._on_closed = on_closed
-        self._reserve_buffer = reserve_buffer
+        self._budget = budget
+        self._meter = read_meter.ReadMeter()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._pending: collections.deque[_PendingAnswer] = collections.deque()
@@ -87,6 +90,7 @@
         self._remote_ip = ""
         self.last_activity_s = clock.now()
         self.header_started_s: float | None = None
+        self._body_started_s = 0.0
 
     # asyncio callbacks
 
@@ -104,6 +108,8 @@
             self._header_section_bytes += len(data)
             if self.header_started_s is None:
                 self.header_started_s = self.last_activity_s
+        else:
+            self._meter.observe_received(len(data))
         try:
             parsing.feed_request(self._parser, data)
         except errors.BadMessageError as error:
@@ -118,6 +124,10 @@
                         431, f"header section is too large: {self._header_section_bytes} bytes"
                     )
                 )
+            elif self._is_in_body() and not self._meter.is_framing_within(
+                self._limits().header_bytes
+            ):
+                self._reject(errors.BadMessageError(431, "chunk sizes and trailers are too large"))
 
     def eof_received(self) -> bool:
         """Closes the connection: a caller that half-closes it is treated as disconnected."""
@@ -161,6 +171,8 @@
         self._in_header_section = False
         self._header_section_bytes = 0
         self.header_started_s = None
+        self._body_started_s = clock.now()
+        self._meter.reset()
         size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._fields)
         if size > self._limits().header_bytes:
             raise errors.BadMessageError(431, f"header section is too large: {size} bytes")
@@ -181,8 +193,9 @@
         """Appends a part of the body."""
         if len(self._body) + len(data) > self._limits().body_bytes:
             raise errors.BadMessageError(413, "body exceeds the size limit")
-        if not self._reserve_buffer(len(data)):
+        if not self._budget.reserve(len(data)):
             raise errors.BadMessageError(503, "request buffer is full: the body cannot be stored")
+        self._meter.observe_body(len(data))
         self._body += data
 
     def on_message_complete(self) -> None:
@@ -242,6 +255,20 @@
             errors.BadMessageError(408, "header section was not complete within its timeout")
         )
 
+    def is_body_too_slow(self, now: float) -> bool:
+        """Returns whether the body that is being received takes longer than it may.
+
+        A body may take the idle timeout, and a further second for each `_MIN_BODY_BYTES_PER_S`.
+        """
+        if not self._is_in_body():
+            return False
+        allowed_s = self._limits().idle_timeout_s + len(self._body) / _MIN_BODY_BYTES_PER_S
+        return now - self._body_started_s > allowed_s
+
+    def reject_slow_body(self) -> None:
+        """Rejects a body that is received too slowly with 408."""
+        self._reject(errors.BadMessageError(408, "body was not complete within its timeout"))
+
     # internals
 
     async def _serve(self, pending: _PendingAnswer, received: request.Request) -> None:
@@ -254,7 +281,7 @@
                 status=502, reason=b"Bad Gateway", fields=(), body=b"", close=True
             )
         finally:
-            self._reserve_buffer(-len(received.body))
+            self._budget.release(len(received.body))
         if not self._ended:
             self._flush()
 
@@ -298,6 +325,9 @@
             transport.write_eof()
         asyncio.get_running_loop().call_later(_LINGER_S, transport.close)
 
+    def _is_in_body(self) -> bool:
+        return self._receiving and not self._in_header_section
+
     def _reject(self, error: errors.BadMessageError) -> None:
         self._discarding = True
         self._receiving = False
@@ -311,7 +341,7 @@
 
     def _discard_body(self) -> None:
         if self._body:
-            self._reserve_buffer(-len(self._body))
+            self._budget.release(len(self._body))
             self._body.clear()
 
     def _pause_reading(self) -> None:
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -6,7 +6,7 @@
 
 from laburnumford_mesh import clock
 from laburnumford_mesh import limits as limits_module
-from laburnumford_mesh.http import edge_connection
+from laburnumford_mesh.http import buffer_budget, edge_connection
 
 _MAX_PENDING_CONNECTIONS = 1024
 """Backlog of the listening socket; all callers of a VM reconnect at the same time after an
@@ -44,8 +44,7 @@
         self._handler = handler
         self._limits = limits
         self._max_connections = max_connections
-        self._max_buffer_bytes = max_buffer_bytes
-        self._buffered_bytes = 0
+        self._budget = buffer_budget.BufferBudget(max_bytes=max_buffer_bytes)
         self._connections: set[edge_connection.EdgeConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
@@ -106,7 +105,7 @@
             handler=self._handler,
             limits=self._limits,
             on_closed=self._connections.discard,
-            reserve_buffer=self._reserve_buffer,
+            budget=self._budget,
         )
         if len(self._connections) >= self._max_connections:
             self.refused_connections += 1
@@ -115,12 +114,6 @@
         self._connections.add(connection)
         return connection
 
-    def _reserve_buffer(self, size: int) -> bool:
-        if size > 0 and self._buffered_bytes + size > self._max_buffer_bytes:
-            return False
-        self._buffered_bytes += size
-        return True
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
@@ -130,6 +123,8 @@
                 started_s = connection.header_started_s
                 if started_s is not None and now - started_s > limits.header_timeout_s:
                     connection.reject_slow_header()
+                elif connection.is_body_too_slow(now):
+                    connection.reject_slow_body()
                 elif (
                     connection.idle
                     and now - connection.last_activity_s > limits.idle_timeout_s + _IDLE_SLACK_S
--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -7,6 +7,7 @@
 
 from laburnumford_mesh import clock
 from laburnumford_mesh.http import answer as answers
+from laburnumford_mesh.http import buffer_budget, read_limits, read_meter
 from laburnumford_node.http import errors, fields, parsing
 
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -26,9 +27,12 @@
 
     An answer with the id of another request is dropped and the exchange continues, because
     servers may send a second answer to an earlier request. The connection is reusable only
-    after an answer that has its declared length and is followed by no further bytes.
+    after an answer that has its declared length and is followed by no further bytes. An exchange
+    in which the server sends more than the limits allow fails, and the connection is closed.
 
     Args:
+        limits: limits on the bytes of one exchange.
+        budget: limit on the bodies that all connections of the owner buffer.
         id_field: name of the header field that matches an answer to its request, or None.
 
     Attributes:
@@ -36,8 +40,19 @@
         request_count: number of requests sent.
     """
 
-    def __init__(self, *, id_field: bytes | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        limits: read_limits.ReadLimits,
+        budget: buffer_budget.BufferBudget,
+        id_field: bytes | None = None,
+    ) -> None:
+        self._limits = limits
+        self._budget = budget
         self._id_field = id_field
+        self._meter = read_meter.ReadMeter()
+        self._reserved_bytes = 0
+        self._field_count = 0
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[answers.Answer] | None = None
@@ -69,10 +84,20 @@
             # Unsolicited bytes would be parsed as part of the next answer.
             self._discard()
             return
+        self._meter.observe_received(len(data))
         try:
             parsing.feed_answer(self._parser, data)
         except errors.BadMessageError as error:
             self._fail(error)
+            return
+        if not self._meter.is_framing_within(self._limits.framing_bytes):
+            self._fail(
+                errors.BadMessageError(
+                    502,
+                    f"answer has more than {self._limits.framing_bytes} bytes of header fields, "
+                    "chunk sizes, trailers and informational answers",
+                )
+            )
 
     def eof_received(self) -> bool:
         """Completes an answer that is delimited by the end of the connection."""
@@ -97,7 +122,7 @@
             raise errors.BadMessageError(502, "unexpected bytes after the end of the answer")
         self._fields = []
         self._reason = b""
-        self._body.clear()
+        self._release_body()
         self._in_trailers = False
         self._in_answer = True
         self._ends_at_eof = False
@@ -107,7 +132,12 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field; trailer fields are dropped."""
+        """Stores a header field; trailer fields are counted and dropped."""
+        self._field_count += 1
+        if self._field_count > self._limits.header_fields:
+            raise errors.BadMessageError(
+                502, f"exchange has more than {self._limits.header_fields} header fields"
+            )
         if not self._in_trailers:
             self._fields.append((name.lower(), value))
 
@@ -115,19 +145,29 @@
         """Determines how the answer is delimited."""
         self._in_trailers = True
         status = self._parser.get_status_code()
-        names = {name for name, _ in self._fields}
+        value_by_name = dict(self._fields)
         self._ends_at_eof = (
             status >= 200
             and status not in _BODYLESS_STATUSES
-            and not {b"content-length", b"transfer-encoding"} & names
+            and not {b"content-length", b"transfer-encoding"} & value_by_name.keys()
         )
         if self._method == b"HEAD":
             # llhttp has no setting for an answer to HEAD, which has no body.
             self._not_reusable = True
             self._deliver()
+            return
+        if status not in _BODYLESS_STATUSES:
+            self._check_body_size(int(value_by_name.get(b"content-length", b"0")))
 
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body."""
+        self._check_body_size(len(data))
+        if not self._budget.reserve(len(data)):
+            raise errors.BadMessageError(
+                502, f"answers exceed the buffer of {self._budget.max_bytes} bytes"
+            )
+        self._reserved_bytes += len(data)
+        self._meter.observe_body(len(data))
         self._body += data
 
     def on_message_complete(self) -> None:
@@ -175,14 +215,17 @@
             expected_id: request id that the answer must carry, or None for any answer.
 
         Raises:
-            HttpError: the connection closed or the answer is invalid.
+            ConnectionClosedError: the connection closed before the request was written.
+            HttpError: the connection closed later, or the answer is invalid or too large.
         """
         if self._transport is None or self._lost or self._transport.is_closing():
-            raise errors.ConnectError("connection closed before the request was written")
+            raise errors.ConnectionClosedError("connection closed before the request was written")
         self._method = method
         self._expected_id = expected_id
         self._in_answer = False
         self._mismatched_answers = 0
+        self._field_count = 0
+        self._meter.reset()
         self._waiter = asyncio.get_running_loop().create_future()
         self.request_count += 1
         self._transport.write(encoded)
@@ -222,6 +265,19 @@
                 body=bytes(self._body),
             )
         )
+        self._release_body()
+
+    def _check_body_size(self, more_bytes: int) -> None:
+        size = self._meter.body_bytes + more_bytes
+        if size > self._limits.body_bytes:
+            raise errors.BadMessageError(
+                502, f"answer has {size} bytes or more; allowed: {self._limits.body_bytes}"
+            )
+
+    def _release_body(self) -> None:
+        self._body.clear()
+        self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
 
     def _is_expected(self) -> bool:
         if self._expected_id is None or self._id_field is None:
@@ -243,6 +299,7 @@
 
     def _fail(self, error: Exception) -> None:
         self._discard()
+        self._release_body()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
             # Marks the exception as retrieved; a cancelled exchange does not await it.
--- a/packages/mesh/src/laburnumford_mesh/http/server_pool.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_pool.py
@@ -4,7 +4,7 @@
 import collections
 
 from laburnumford_mesh import clock
-from laburnumford_mesh.http import server_connection
+from laburnumford_mesh.http import buffer_budget, read_limits, server_connection
 from laburnumford_node.http import errors
 
 
@@ -15,10 +15,22 @@
         address: ``ip:port``.
         id_field: name of the header field that matches an answer to its request, or None.
         connect_timeout_s: timeout for opening a connection, in seconds.
+        limits: limits on the bytes of one exchange.
+        buffer_bytes: total size of the answer bodies that all connections buffer at a time.
     """
 
-    def __init__(self, *, address: str, id_field: bytes | None, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        id_field: bytes | None,
+        connect_timeout_s: float,
+        limits: read_limits.ReadLimits,
+        buffer_bytes: int,
+    ) -> None:
         self._address = address
+        self._limits = limits
+        self._budget = buffer_budget.BufferBudget(max_bytes=buffer_bytes)
         self._id_field = id_field
         self._connect_timeout_s = connect_timeout_s
         self._idle: collections.deque[server_connection.ServerConnection] = collections.deque()
@@ -28,6 +40,7 @@
         """Returns a connection that was idle for at most `max_idle_s` seconds, or opens one.
 
         Raises:
+            ConnectionClosedError: the server reset the new connection.
             ConnectError: no connection could be opened.
         """
         now = clock.now()
@@ -68,10 +81,16 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: server_connection.ServerConnection(id_field=self._id_field),
+                    lambda: server_connection.ServerConnection(
+                        limits=self._limits, budget=self._budget, id_field=self._id_field
+                    ),
                     host,
                     int(port),
                 )
+        except ConnectionResetError as error:
+            raise errors.ConnectionClosedError(
+                f"{self._address} reset the connection before a request was sent"
+            ) from error
         except (OSError, TimeoutError) as error:
             raise errors.ConnectError(f"cannot connect to {self._address}: {error!r}") from error
         self.opened_count += 1
--- a/packages/mesh/src/laburnumford_mesh/http/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/conftest.py
@@ -45,10 +45,11 @@
         self.gate_by_path = {}
         self.requests = []
         self.cancelled = []
+        self.limits = SMALL_LIMITS
         self.server = edge_server.EdgeServer(
             address="127.0.0.1:0",
             handler=self.handle,
-            limits=lambda: SMALL_LIMITS,
+            limits=lambda: self.limits,
             max_connections=10,
             max_buffer_bytes=150_000,
         )
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
@@ -1,6 +1,7 @@
 """Tests of connections of callers."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -150,3 +151,59 @@
         head = await caller.reader.readuntil(b"\r\n\r\n")
     assert b"content-length: 2" in head
     assert (await caller.read_answer())[2] == b"/2"
+
+
+CHUNKED_POST = b"POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "pattern", "status"),
+    [
+        (b"GET /", b"x", 431),
+        (b"GET / HTTP/1.1\r\n", b"X: y\r\n", 431),
+        (b"GET / HTTP/1.1\r\n", b"x", 431),
+        (CHUNKED_POST, b"0", 431),
+        (CHUNKED_POST + b"5;", b"e", 431),
+        (CHUNKED_POST + b"0\r\n", b"X: y\r\n", 431),
+        (CHUNKED_POST, b"10\r\n" + b"b" * 16 + b"\r\n", 413),
+    ],
+)
+async def test_endless_request_is_rejected(edge, start, pattern, status):
+    """Guards against a caller that sends one element of a request without end."""
+    caller = await edge.connect()
+    caller.send(start)
+    answer = asyncio.create_task(caller.read_answer())
+    async with asyncio.timeout(10):
+        while not answer.done():
+            caller.send(pattern * 100)
+            await asyncio.sleep(0)
+    assert (await answer)[0] in (status, 400)
+    assert not edge.requests
+
+
+async def test_body_in_small_pieces_within_its_timeout_is_accepted(edge):
+    """Guards against rejecting chunked bodies of callers that send small chunks."""
+    caller = await edge.connect()
+    body = b"b" * 5000
+    caller.send(CHUNKED_POST)
+    for index in range(0, len(body), 10):
+        caller.send(b"a\r\n" + body[index : index + 10] + b"\r\n")
+        await asyncio.sleep(0)
+    caller.send(b"0\r\n\r\n" + _get("/2"))
+    assert (await caller.read_answer())[0] == 200
+    assert (await caller.read_answer())[0] == 200
+    assert edge.requests[0].body == body
+
+
+async def test_slow_body_is_rejected(edge):
+    """Guards against a caller that holds a connection by sending a body byte by byte."""
+    edge.limits = dataclasses.replace(edge.limits, idle_timeout_s=0.5)
+    caller = await edge.connect()
+    caller.send(b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n")
+    answer = asyncio.create_task(caller.read_answer())
+    async with asyncio.timeout(10):
+        while not answer.done():
+            caller.send(b"b")
+            await asyncio.sleep(0.05)
+    assert (await answer)[0] == 408
+    assert not edge.requests
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import server_pool
+from laburnumford_mesh.http import read_limits, server_pool
 from laburnumford_node.http import errors
 
 ID_FIELD = b"x-id"
@@ -73,7 +73,11 @@
 async def pool(server):
     """Returns a pool for the server."""
     made = server_pool.ServerPool(
-        address=f"127.0.0.1:{server.port}", id_field=ID_FIELD, connect_timeout_s=1.0
+        address=f"127.0.0.1:{server.port}",
+        id_field=ID_FIELD,
+        connect_timeout_s=1.0,
+        limits=read_limits.ReadLimits(),
+        buffer_bytes=1_000_000,
     )
     yield made
     made.close()
--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -12,6 +12,9 @@
 """Bandwidth that a stream is assumed to get. The slowest network link of a VM has 5 Mbit/s, and the
 stream shares it with the calls of other nodes, which may have large bodies."""
 
+_MAX_FIRST_FRAME_BYTES = 64
+"""Fits a hello. Until then the other end need not be a node, and nothing larger is buffered."""
+
 
 class Link(asyncio.Protocol):
     """Sends frames and splits received bytes into frames.
@@ -40,6 +43,7 @@
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._max_frame_bytes = _MAX_FIRST_FRAME_BYTES
         self.lost = False
         self.last_received_s = clock.now()
         self.estimated_delivery_s = clock.now()
@@ -62,7 +66,7 @@
         prefix_size = frames.LENGTH_PREFIX.size
         while len(buffer) - start >= prefix_size:
             (size,) = frames.LENGTH_PREFIX.unpack_from(buffer, start)
-            if size > frames.MAX_FRAME_BYTES:
+            if size > self._max_frame_bytes:
                 self.abort()
                 return
             end = start + prefix_size + size
@@ -76,6 +80,7 @@
             except msgspec.MsgspecError:
                 self.abort()
                 return
+            self._max_frame_bytes = frames.MAX_FRAME_BYTES
             self._on_frame(self, frame)
         if start:
             del buffer[:start]
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -17,7 +17,7 @@
     wire_names,
 )
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import server_connection, server_pool
+from laburnumford_mesh.http import read_limits, server_connection, server_pool
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
@@ -78,6 +78,8 @@
         address: ``ip:port`` of the server.
         names: header field names.
         log: structured log.
+        limits: limits on the bytes of one exchange with the server.
+        buffer_bytes: total size of the answers that are received at a time.
         on_load_change: called when other nodes should get a new load report.
 
     Attributes:
@@ -94,6 +96,8 @@
         address: str,
         names: wire_names.WireNames,
         log: event_log.EventLog,
+        limits: read_limits.ReadLimits,
+        buffer_bytes: int,
         on_load_change: Callable[[], None],
     ) -> None:
         self._address = address
@@ -101,7 +105,11 @@
         self._log = log
         self._on_load_change = on_load_change
         self._pool = server_pool.ServerPool(
-            address=address, id_field=names.request_id, connect_timeout_s=_CONNECT_TIMEOUT_S
+            address=address,
+            id_field=names.request_id,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+            limits=limits,
+            buffer_bytes=buffer_bytes,
         )
         self._queue = work_queue.WorkQueue(service_time_s=self._expected_service_time_s)
         self._slot_grant_by_id: dict[int, asyncio.Future[None]] = {}
@@ -344,6 +352,8 @@
             max_idle_s = _UNLIMITED_IDLE_S if request.idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
             try:
                 connection = await self._pool.acquire(max_idle_s)
+            except http_errors.ConnectionClosedError:
+                raise
             except http_errors.ConnectError:
                 self._down_until_s = clock.now() + _DOWN_AFTER_CONNECT_ERROR_S
                 if not self._unreachable:
@@ -376,8 +386,10 @@
         except TimeoutError:
             self._close_connection(connection)
             return frames.UnknownOutcome(request.call_id, "server-timeout", self.report())
-        except http_errors.ConnectError as error:
-            return self.refusal(request.call_id, str(error))
+        except http_errors.ConnectionClosedError:
+            # A server resets connections while it is full. Nothing was written, so the request
+            # did not run, and the server is not down.
+            return self.refusal(request.call_id, "server-full")
         except http_errors.HttpError as error:
             self._log.write("answer_broken", server=request.server_id, error=str(error))
             return frames.UnknownOutcome(request.call_id, "answer-broken", self.report())
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -76,6 +76,13 @@
 _MAX_BODY_MEMORY_SHARE = 0.25
 """Share of the memory for buffered request bodies; two nodes and socket buffers hold each body."""
 
+_MAX_ANSWER_MEMORY_SHARE = 0.2
+"""Share of the memory for bodies of answers while they are received; each is copied once into the
+frame or answer that passes it on."""
+
+_MAX_RECORDS_BYTES = 64 * 1024 * 1024
+"""Bytes of the published values that another node sends: 10,000 entries of 500 bytes take 5 MB."""
+
 _COMPRESSION_LEVEL = 6
 """Level of zlib; shrinks configurations, which are JSON, to a tenth."""
 
@@ -129,6 +136,8 @@
             address=own_settings.server_address,
             names=names,
             log=self._log,
+            limits=own_settings.read_limits,
+            buffer_bytes=int(own_settings.memory_bytes * _MAX_ANSWER_MEMORY_SHARE),
             on_load_change=self._send_reports,
         )
         self._peers = peers.Peers(
@@ -346,7 +355,7 @@
 
     def _handle_pull_response(self, ip: str, response: frames.PullResponse) -> None:
         try:
-            records = frames.decode_records(zlib.decompress(response.compressed_records))
+            records = frames.decode_records(_decompress(response.compressed_records))
         except (zlib.error, msgspec.MsgspecError) as error:
             self._log.write("values_rejected", peer=ip, error=str(error))
             return
@@ -407,3 +416,16 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self._local.sweep()
             self._directory.sweep()
+
+
+def _decompress(compressed: bytes) -> bytes:
+    """Returns decompressed bytes.
+
+    Raises:
+        zlib.error: the bytes are damaged or decompress to more than `_MAX_RECORDS_BYTES`.
+    """
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(compressed, _MAX_RECORDS_BYTES)
+    if not decompressor.eof:
+        raise zlib.error(f"values are incomplete or larger than {_MAX_RECORDS_BYTES} bytes")
+    return decompressed
--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from laburnumford_mesh.http import read_limits as read_limits_module
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RetryBudgetSettings:
@@ -37,6 +39,7 @@
         max_connections: largest number of caller connections on each listener.
         grace_s: time between the signal to stop and the end of the process, in seconds.
         retry_budget: bound on retries.
+        read_limits: limits on what is read from the backend server for one request.
     """
 
     node: str
@@ -53,3 +56,6 @@
     max_connections: int
     grace_s: float
     retry_budget: RetryBudgetSettings
+    read_limits: read_limits_module.ReadLimits = dataclasses.field(
+        default_factory=read_limits_module.ReadLimits
+    )
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -7,6 +7,8 @@
 import pytest
 
 from laburnumford_mesh import frames, local_server
+from laburnumford_mesh.http import read_limits
+from laburnumford_mesh.http.tests import flooding_server
 from laburnumford_mesh.tests import conftest, waiting
 
 CALL_IDS = iter(range(1, 10_000))
@@ -16,7 +18,12 @@
 async def local(backend, log):
     """Returns a local server for the backend server."""
     made = local_server.LocalServer(
-        address=backend.address, names=conftest.NAMES, log=log, on_load_change=lambda: None
+        address=backend.address,
+        names=conftest.NAMES,
+        log=log,
+        limits=read_limits.ReadLimits(framing_bytes=8192, body_bytes=100_000),
+        buffer_bytes=150_000,
+        on_load_change=lambda: None,
     )
     made.apply(server_id="a", slots=conftest.SLOTS, health_path="/health")
     sweeper = asyncio.create_task(_sweep(made))
@@ -250,3 +257,43 @@
     local.observe_draining(draining=False)
     again = _request("again", remaining_s=20.0, soft_remaining_s=20.0)
     assert (await local.run(again)).status == 200
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+async def test_endless_answer_frees_slot_and_connection(log, idempotent):
+    """Guards against a flooding server that keeps a slot, and against a refusal of what ran."""
+    start = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"
+    async with flooding_server.FloodingServer(start, b"b") as server:
+        flooded = local_server.LocalServer(
+            address=f"127.0.0.1:{server.port}",
+            names=conftest.NAMES,
+            log=log,
+            limits=read_limits.ReadLimits(body_bytes=100_000),
+            buffer_bytes=150_000,
+            on_load_change=lambda: None,
+        )
+        flooded.apply(server_id="a", slots=1, health_path="")
+        for _ in range(3):
+            found = await flooded.run(_request(idempotent=idempotent))
+            assert isinstance(found, frames.UnknownOutcome)
+            assert flooded.running == 0
+        async with asyncio.timeout(5):
+            await server.closed.wait()
+        flooded.close()
+
+
+async def test_reset_of_a_new_connection_is_a_refusal_of_a_server_that_is_not_down(
+    local, backend, monkeypatch
+):
+    """Guards against a full server that resets connections and counts as down or unknown."""
+
+    async def reset(*_, **__):
+        raise ConnectionResetError
+
+    with monkeypatch.context() as patched:
+        patched.setattr(asyncio.get_running_loop(), "create_connection", reset)
+        found = await local.run(_request(idempotent=False))
+    assert isinstance(found, frames.Refusal)
+    assert found.reason == "server-full"
+    assert isinstance(await local.run(_request("2")), frames.Answer)
+    assert backend.runs == ["2"]
--- a/packages/node/src/laburnumford_node/http/errors.py
+++ b/packages/node/src/laburnumford_node/http/errors.py
@@ -33,5 +33,9 @@
     """No connection could be opened, so nothing was written."""
 
 
+class ConnectionClosedError(ConnectError):
+    """The server closed a new or idle connection before anything was written to it."""
+
+
 class BodyTooLargeError(HttpError):
     """A body is larger than the limit of its reader."""
