Tell cold servers from slowed ones

Cause: in the seconds after a loss of power every server runs at half of its speed. Against normal speed this looked like one long slowdown, so requests started during real slowdowns (14 times the usual time) and the queue admitted twice as much as could be answered in time. A restarted node assumed 50 ms for every kind of request. Views counted a cold server's slowness twice.

Change: BaselineSlowness keeps the slowness to which a server returns; slowdowns, queue, hedges and views are relative to it, and load reports carry it. Unknown service times are assumed to be a third of the published target latency, and the sender's estimate travels with the request. Means are kept at normal speed.

--- a/packages/mesh/src/laburnumford_mesh/call.py
+++ b/packages/mesh/src/laburnumford_mesh/call.py
@@ -4,6 +4,9 @@
 
 from laburnumford_node.http import fields
 
+_SERVICE_TIME_SHARE = 1 / 3
+"""Share of the published target latency that a request is assumed to take on an idle server."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
@@ -38,3 +41,8 @@
     arrived_s: float
     soft_deadline_s: float
     deadline_s: float
+
+    @property
+    def default_service_time_s(self) -> float:
+        """Service time in seconds that is assumed until one has been observed."""
+        return (self.soft_deadline_s - self.arrived_s) * _SERVICE_TIME_SHARE
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -39,9 +39,6 @@
 _REPLACED_BLOCK_S = 5.0
 """Another server uses the address; the entry of the previous one expires within seconds."""
 
-_DEFAULT_SERVICE_TIME_S = 0.05
-"""Assumed until the first answer of a request class is observed."""
-
 _HEDGE_DELAY_FACTOR = 2.0
 """Multiple of the expected service time after which a second server gets the request."""
 
@@ -166,7 +163,7 @@
             view = state.placement.choose(
                 now,
                 ongoing.route_name,
-                _DEFAULT_SERVICE_TIME_S,
+                ongoing.default_service_time_s,
                 len(ongoing.body),
                 history.excluded_server_ids,
                 ongoing.soft_deadline_s - now,
@@ -291,8 +288,9 @@
         ongoing: call.Call, state: services.ServiceState, view: server_view.ServerView
     ) -> float:
         service_time_s = state.placement.mean_service_time_s(
-            ongoing.route_name, _DEFAULT_SERVICE_TIME_S
+            ongoing.route_name, ongoing.default_service_time_s
         )
+        service_time_s *= view.baseline(clock.now())
         return max(view.round_trip_s + service_time_s * _HEDGE_DELAY_FACTOR, _MIN_HEDGE_DELAY_S)
 
     @staticmethod
@@ -306,7 +304,7 @@
         hedge_view = state.placement.choose(
             now,
             ongoing.route_name,
-            _DEFAULT_SERVICE_TIME_S,
+            ongoing.default_service_time_s,
             len(ongoing.body),
             {first_view.server_id, *history.excluded_server_ids},
             ongoing.soft_deadline_s - now,
@@ -314,7 +312,7 @@
         if hedge_view is None or not hedge_view.has_free_slot():
             return None
         service_time_s = state.placement.mean_service_time_s(
-            ongoing.route_name, _DEFAULT_SERVICE_TIME_S
+            ongoing.route_name, ongoing.default_service_time_s
         )
         if now + service_time_s > ongoing.deadline_s or not state.retry_budget.take(now):
             return None
@@ -331,7 +329,7 @@
         started_s = clock.now()
         result: Result | None = None
         try:
-            result = await self._send(ongoing, view, history, started_s)
+            result = await self._send(ongoing, state, view, history, started_s)
         finally:
             view.observe_ended()
             ended_s = clock.now()
@@ -343,6 +341,7 @@
     async def _send(
         self,
         ongoing: call.Call,
+        state: services.ServiceState,
         view: server_view.ServerView,
         history: _AttemptHistory,
         now: float,
@@ -366,6 +365,9 @@
                 or len(history.slow_server_ids) >= _MAX_SLOW_REFUSALS
             ),
             offer_accepted=False,
+            service_time_s=state.placement.mean_service_time_s(
+                ongoing.route_name, ongoing.default_service_time_s
+            ),
         )
         if entry is None:
             return self._local.refusal(frame.call_id, "no-server")
@@ -405,6 +407,7 @@
             priority=frame.priority,
             request_class=frame.request_class,
             expects_slowdown=frame.expects_slowdown,
+            service_time_s=frame.service_time_s,
         )
         try:
             result = await target.offer(offer, min(_OFFER_TIMEOUT_S, frame.remaining_s))
@@ -429,7 +432,9 @@
             view.observe_result(now=now, failed=result.status >= 500)
             if result.status < 300:
                 state.placement.observe_answer(
-                    ongoing.route_name, result.service_time_s, len(result.body)
+                    ongoing.route_name,
+                    result.service_time_s / max(result.slowness, 1.0),
+                    len(result.body),
                 )
         elif isinstance(result, frames.UnknownOutcome) or result.reason in _SERVER_REFUSAL_REASONS:
             view.observe_result(now=now, failed=True)
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -23,8 +23,9 @@
         concurrency_limit: requests that the node lets run at the same time.
         slowness: factor of the service times against normal speed, 1.0 is normal.
         slowness_age_s: seconds since the server reported its slowness.
-        slow_for_s: seconds from the server's last report at normal speed to its latest report, 0 at
-            normal speed.
+        slow_for_s: seconds from the server's last report outside a slowdown to its latest report,
+            0 outside a slowdown.
+        baseline: slowness without the slowdown.
     """
 
     server_id: str
@@ -35,6 +36,7 @@
     slowness: float
     slowness_age_s: float
     slow_for_s: float
+    baseline: float = 1.0
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=0):
@@ -68,6 +70,8 @@
             not, the receiver refuses the request during one, so that the sender may choose another
             server.
         offer_accepted: whether the receiver has accepted an offer of this request.
+        service_time_s: service time in seconds at normal speed that the sender expects; a receiver
+            that has run no such request yet uses it.
     """
 
     call_id: int
@@ -83,10 +87,16 @@
     request_class: str
     expects_slowdown: bool
     offer_accepted: bool
+    service_time_s: float = 0.05
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True, tag=2):
-    """Carries the server's answer to a request."""
+    """Carries the server's answer to a request.
+
+    Attributes:
+        service_time_s: seconds that the server took.
+        slowness: slowness of the server when the request started.
+    """
 
     call_id: int
     status: int
@@ -95,6 +105,7 @@
     body: bytes
     service_time_s: float
     load: LoadReport
+    slowness: float = 1.0
 
 
 class Refusal(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -190,6 +201,7 @@
     priority: int
     request_class: str
     expects_slowdown: bool
+    service_time_s: float = 0.05
 
 
 class Acceptance(msgspec.Struct, array_like=True, frozen=True, tag=14):
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -39,9 +39,6 @@
 _SERVICE_TIME_WEIGHT = 0.1
 """Weight of one request in the mean service time; about the last ten count."""
 
-_DEFAULT_SERVICE_TIME_S = 0.05
-"""Assumed until the first request of a request class is observed."""
-
 _SHORT_REQUEST_SHARE = 0.6
 """Share of the mean service time below which a request is cheap enough to serve late."""
 
@@ -118,6 +115,7 @@
         self._exchanges: set[asyncio.Task[Any]] = set()
         self._reservations = reservations.Reservations()
         self._service_times = running_means.RunningMeans(weight=_SERVICE_TIME_WEIGHT)
+        self._default_service_time_s_by_class: dict[str, float] = {}
         self._mean_service_time_s = 0.0
         self._speed = server_speed.ServerSpeed()
         self._health_path = ""
@@ -128,6 +126,7 @@
         self._unreachable = False
         self.server_id = ""
         self._server_id_confirmed_s = -math.inf
+        self._cold_server_id = ""
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
         self.running = 0
         self.shutting_down = False
@@ -149,9 +148,19 @@
         """Largest number of requests that run on the server at a time."""
         return self._concurrency_limit.limit(clock.now())
 
-    def apply(self, *, server_id: str, slots: int, health_path: str) -> None:
-        """Applies the entry of the server and the health check path of its service."""
+    def apply(self, *, server_id: str, slots: int, health_path: str, cold: bool = False) -> None:
+        """Applies the entry of the server and the health check path of its service.
+
+        Args:
+            server_id: id of the server.
+            slots: number of requests that the server processes at a time.
+            health_path: path of the health check, empty if there is none.
+            cold: whether the server has just started.
+        """
         self._health_path = health_path
+        if cold and server_id != self._cold_server_id:
+            self._cold_server_id = server_id
+            self._speed.expect_cold()
         if not self._is_server_id_confirmed():
             self.server_id = server_id
         self._set_slots(max(slots, 1))
@@ -177,6 +186,7 @@
             self._speed.slowness,
             self._speed.age_s(now),
             self._speed.current().slow_for_s,
+            self._speed.baseline,
         )
 
     def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
@@ -253,6 +263,7 @@
             request.server_id
         ):
             raise errors.RefusedError("other-server")
+        self._default_service_time_s_by_class[request.request_class] = request.service_time_s
         service_time_s = self._expected_service_time_s(request.request_class)
         if started_s + service_time_s > deadline_s:
             raise errors.RefusedError("deadline")
@@ -311,7 +322,10 @@
         running request are not marked as such, but are short. Refusing one fails the running
         request and wastes its work; serving it late does not.
         """
-        if service_time_s < self._mean_service_time_s * _SHORT_REQUEST_SHARE:
+        if (
+            service_time_s
+            < self._mean_service_time_s * self._speed.baseline * _SHORT_REQUEST_SHARE
+        ):
             return now + request.remaining_s
         return now + request.soft_remaining_s
 
@@ -432,6 +446,7 @@
             answer.body,
             service_time_s,
             self.report(),
+            slowness,
         )
 
     def _observe_load(self, value: bytes | None) -> None:
@@ -453,7 +468,14 @@
         self._service_times.observe(request_class, service_time_s)
 
     def _expected_service_time_s(self, request_class: str) -> float:
-        return self._service_times.mean(request_class, _DEFAULT_SERVICE_TIME_S)
+        """Returns the expected service time in seconds outside a slowdown."""
+        return self._normal_service_time_s(request_class) * self._speed.baseline
+
+    def _normal_service_time_s(self, request_class: str) -> float:
+        """Returns the mean service time at normal speed in seconds."""
+        return self._service_times.mean(
+            request_class, self._default_service_time_s_by_class.get(request_class, 0.0)
+        )
 
     def _release_slot(self) -> None:
         self.running -= 1
@@ -475,7 +497,7 @@
                 break
             if start_policy.should_start_now(
                 speed=speed,
-                service_time_s=self._expected_service_time_s(entry.request_class),
+                service_time_s=self._normal_service_time_s(entry.request_class),
                 remaining_s=entry.deadline_s - now,
             ):
                 self._grant_slot(entry)
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -326,6 +326,7 @@
                 server_id=own.server_id,
                 slots=own.slots,
                 health_path=paths.get(own.service, ""),
+                cold=own.cold_remaining_s > 0,
             )
         self._peers.apply({entry.ip: entry.zone for entry in entries})
         self._services.apply(self._directory.usable_servers(), node_count=self._peers.count + 1)
--- a/packages/mesh/src/laburnumford_mesh/server_speed.py
+++ b/packages/mesh/src/laburnumford_mesh/server_speed.py
@@ -3,7 +3,7 @@
 import math
 
 from laburnumford_mesh import clock
-from laburnumford_policy.placement import start_policy
+from laburnumford_policy.placement import baseline_slowness, start_policy
 
 _MIN_REPORTED_CHANGE = 0.3
 """Relative change of the slowness that other nodes are told at once."""
@@ -13,7 +13,7 @@
 
 
 class ServerSpeed:
-    """Keeps the latest slowness that the server reported and when it was last at normal speed.
+    """Keeps the latest slowness that the server reported and when a slowdown began.
 
     Attributes:
         slowness: service time relative to normal speed.
@@ -22,8 +22,23 @@
     def __init__(self) -> None:
         self.slowness = 1.0
         self._observed_s = -math.inf
+        self._baseline = baseline_slowness.BaselineSlowness()
         self._last_normal_s = clock.now()
 
+    @property
+    def baseline(self) -> float:
+        """Slowness of the server without short slowdowns."""
+        return self._baseline.value()
+
+    @property
+    def slow(self) -> bool:
+        """Whether the server was in a slowdown at its last report."""
+        return self.slowness > start_policy.SLOWNESS_THRESHOLD * self.baseline
+
+    def expect_cold(self) -> None:
+        """Takes into account that another server has started at the address and is cold."""
+        self._baseline.expect_cold()
+
     def age_s(self, now: float) -> float:
         """Returns the age of the latest report in seconds, at most one hour."""
         return min(now - self._observed_s, _MAX_REPORTED_AGE_S)
@@ -33,12 +48,14 @@
         changed = abs(slowness - self.slowness) > _MIN_REPORTED_CHANGE * self.slowness
         self.slowness = slowness
         self._observed_s = clock.now()
-        if slowness <= start_policy.SLOWNESS_THRESHOLD:
+        self._baseline.observe(self._observed_s, slowness)
+        if not self.slow:
             self._last_normal_s = self._observed_s
         return changed
 
     def current(self) -> start_policy.Speed:
         """Returns the latest speed, with the duration of a slowdown."""
-        slow = self.slowness > start_policy.SLOWNESS_THRESHOLD
-        slow_for_s = self._observed_s - self._last_normal_s if slow else 0.0
-        return start_policy.Speed(slowness=self.slowness, slow_for_s=max(slow_for_s, 0.0))
+        slow_for_s = self._observed_s - self._last_normal_s if self.slow else 0.0
+        return start_policy.Speed(
+            slowness=self.slowness, slow_for_s=max(slow_for_s, 0.0), baseline=self.baseline
+        )
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -106,6 +106,7 @@
                 slowness=report.slowness,
                 slowness_age_s=report.slowness_age_s,
                 slow_for_s=report.slow_for_s,
+                baseline=report.baseline,
             )
 
     def block(self, ip: str, seconds: float) -> None:
--- a/packages/policy/src/laburnumford_policy/placement/placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/placement.py
@@ -10,9 +10,6 @@
 
 from laburnumford_policy.placement import running_means, server_view
 
-_COLD_SLOWNESS = 2.0
-"""Servers that have just started are about this many times slower until they are warm."""
-
 _JITTER_SHARE = 0.1
 """Spreads requests over servers with similar estimates, so that the nodes do not all select the
 same one."""
@@ -91,7 +88,7 @@
         for view in self.views_by_id.values():
             if view.server_id in excluded or now < view.blocked_until_s:
                 continue
-            expected_s = view.expected_latency_s(now, service_time_s, _COLD_SLOWNESS)
+            expected_s = view.expected_latency_s(now, service_time_s)
             expected_s *= 1.0 + _JITTER_SHARE * self._generator.random()
             if view.other_zone:
                 expected_s += cross_zone_cost_s
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -2,12 +2,15 @@
 
 import math
 
-from laburnumford_policy.placement import start_policy
+from laburnumford_policy.placement import baseline_slowness, start_policy
 
 _SLOWNESS_DECAY_S = 0.15
-"""Time constant with which a reported slowness decays to the long-term mean. The load of other
+"""Time constant with which a reported slowdown decays to the long-term mean. The load of other
 VMs on the same machine changes within some hundred milliseconds."""
 
+_BASELINE_VALIDITY_S = 1.0
+"""Age of a report up to which its baseline is used."""
+
 _SLOWNESS_REPORT_WEIGHT = 0.02
 """Weight of one report in the mean: with about ten a second the mean spans seconds."""
 
@@ -55,7 +58,8 @@
         self._slowness = 1.0
         self._slowness_at_s = -math.inf
         self._slow_for_s = 0.0
-        self._mean_slowness = 1.0
+        self._baseline = 1.0
+        self._mean_slowdown = 1.0
         self._failure_share = 0.0
         self._failure_at_s = 0.0
 
@@ -79,6 +83,7 @@
         slowness: float,
         slowness_age_s: float,
         slow_for_s: float,
+        baseline: float = 1.0,
     ) -> None:
         """Applies a load report; a report older than the last one is ignored."""
         if sequence < self._sequence:
@@ -92,7 +97,9 @@
             self._slowness = slowness
             self._slow_for_s = slow_for_s
             self._slowness_at_s = at_s
-            self._mean_slowness += _SLOWNESS_REPORT_WEIGHT * (slowness - self._mean_slowness)
+            self._baseline = baseline
+            slowdown = slowness / baseline
+            self._mean_slowdown += _SLOWNESS_REPORT_WEIGHT * (slowdown - self._mean_slowdown)
 
     def reset_sequence(self) -> None:
         """Accepts any sequence number in the next report, because the reporting node restarted."""
@@ -113,27 +120,36 @@
         """Returns whether the server is estimated to be in a slowdown."""
         return self._speed(now).slow
 
-    def expected_latency_s(self, now: float, service_time_s: float, cold_slowness: float) -> float:
+    def baseline(self, now: float) -> float:
+        """Returns the slowness of the server without short slowdowns."""
+        if now - self._slowness_at_s <= _BASELINE_VALIDITY_S:
+            return self._baseline
+        return baseline_slowness.COLD_SLOWNESS if now < self.cold_until_s else 1.0
+
+    def expected_latency_s(self, now: float, service_time_s: float) -> float:
         """Returns the expected latency of a request sent now: the time until its answer.
 
         Args:
             now: current time.
             service_time_s: service time at normal speed in seconds.
-            cold_slowness: factor by which a server that has just started is slower.
         """
-        completion_s = start_policy.expected_completion_s(self._speed(now), service_time_s)
-        if now < self.cold_until_s:
-            completion_s *= cold_slowness
+        speed = self._speed(now)
+        completion_s = start_policy.expected_completion_s(speed, service_time_s)
         ahead = max(self._load + self._sent_since_report, self.outstanding) + 1 - self._limit
         rounds = max(ahead, 0) / self._limit
         failing = min(self.failure_share(now), _MAX_FAILURE_SHARE)
-        return (self.round_trip_s + completion_s + service_time_s * rounds) / (1.0 - failing) ** 2
+        wait_s = service_time_s * speed.baseline * rounds
+        return (self.round_trip_s + completion_s + wait_s) / (1.0 - failing) ** 2
 
     def _speed(self, now: float) -> start_policy.Speed:
         age_s = max(now - self._slowness_at_s, 0.0)
         weight = math.exp(-age_s / _SLOWNESS_DECAY_S)
-        slowness = self._mean_slowness + (self._slowness - self._mean_slowness) * weight
-        return start_policy.Speed(slowness=slowness, slow_for_s=self._slow_for_s)
+        reported = self._slowness / self._baseline
+        slowdown = self._mean_slowdown + (reported - self._mean_slowdown) * weight
+        baseline = self.baseline(now)
+        return start_policy.Speed(
+            slowness=slowdown * baseline, slow_for_s=self._slow_for_s, baseline=baseline
+        )
 
     def has_free_slot(self) -> bool:
         """Returns whether a request sent now would probably start without waiting."""
--- a/packages/policy/src/laburnumford_policy/placement/start_policy.py
+++ b/packages/policy/src/laburnumford_policy/placement/start_policy.py
@@ -12,7 +12,7 @@
 """Expected remaining time of a slowdown that was just detected."""
 
 SLOWNESS_THRESHOLD = 1.5
-"""Up to this slowness a server counts as running at normal speed."""
+"""Up to this multiple of its baseline a server does not count as slowed down."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,16 +21,18 @@
 
     Attributes:
         slowness: current service time divided by the normal one; 1.0 is normal speed.
-        slow_for_s: seconds since the server was last seen at normal speed, 0 if it is now.
+        slow_for_s: seconds since the server was last seen outside a slowdown, 0 if it is now.
+        baseline: slowness without the slowdown; above 1 while the server is cold.
     """
 
     slowness: float
     slow_for_s: float
+    baseline: float = 1.0
 
     @property
     def slow(self) -> bool:
         """Whether the server is in a slowdown."""
-        return self.slowness > SLOWNESS_THRESHOLD
+        return self.slowness > SLOWNESS_THRESHOLD * self.baseline
 
 
 def remaining_slowdown_s(speed: Speed) -> float:
@@ -46,7 +48,7 @@
     completion_now_s = service_time_s * speed.slowness
     if not speed.slow:
         return completion_now_s
-    return min(completion_now_s, remaining_slowdown_s(speed) + service_time_s)
+    return min(completion_now_s, remaining_slowdown_s(speed) + service_time_s * speed.baseline)
 
 
 def should_start_now(*, speed: Speed, service_time_s: float, remaining_s: float) -> bool:
@@ -60,7 +62,7 @@
     if not speed.slow:
         return True
     completion_now_s = service_time_s * speed.slowness
-    completion_later_s = remaining_slowdown_s(speed) + service_time_s
+    completion_later_s = remaining_slowdown_s(speed) + service_time_s * speed.baseline
     if completion_now_s > remaining_s:
         # Started now, the request misses its deadline; if it waits, the slowdown may end in time.
         return False
