Count the target latency of returning callers from their first attempt

Cause: while a service is overloaded, refused callers return and compete with new requests. Their soft deadline started again with each attempt, so they displaced requests that could still be in time, and everything was late.

Change: CallerTimeouts compares the time that a caller states with the largest one of its kind; what is missing has passed, and the soft deadline is earlier by it. A request that no server could finish before its deadline is refused at once instead of after several nodes have refused it.

--- a/packages/mesh/src/laburnumford_mesh/call.py
+++ b/packages/mesh/src/laburnumford_mesh/call.py
@@ -24,7 +24,9 @@
         priority: priority; 0 is the highest.
         max_attempts: largest number of servers that may receive the request.
         arrived_s: time of `clock.now` when the request was received.
-        soft_deadline_s: time until which an answer has its full value.
+        target_latency_s: published time in seconds within which an answer has its full value.
+        soft_deadline_s: time until which an answer has its full value; it is earlier for callers
+            that have already waited.
         deadline_s: time after which the caller no longer waits for an answer.
     """
 
@@ -39,10 +41,11 @@
     priority: int
     max_attempts: int
     arrived_s: float
+    target_latency_s: float
     soft_deadline_s: float
     deadline_s: float
 
     @property
     def default_service_time_s(self) -> float:
         """Service time in seconds that is assumed until one has been observed."""
-        return (self.soft_deadline_s - self.arrived_s) * _SERVICE_TIME_SHARE
+        return self.target_latency_s * _SERVICE_TIME_SHARE
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -172,6 +172,12 @@
                 return self._give_up(
                     history, "no-server" if not history.excluded_server_ids else "no-room"
                 )
+            service_time_s = state.placement.mean_service_time_s(
+                ongoing.route_name, ongoing.default_service_time_s
+            )
+            if now + service_time_s * view.baseline(now) > ongoing.deadline_s:
+                # The node of every server would refuse it.
+                return self._give_up(history, "deadline")
             if history.server_attempts and not self._may_retry(ongoing, state, history):
                 return self._give_up(history, "budget")
             result, used_view = await self._attempt_hedged(ongoing, state, view, history)
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -20,7 +20,7 @@
 from laburnumford_mesh.http import answer as answers
 from laburnumford_mesh.http import request
 from laburnumford_node.http import fields
-from laburnumford_policy.placement import weighted_split
+from laburnumford_policy.placement import caller_timeouts, weighted_split
 
 _STALE_CONFIGURATION_S = 1.2
 """With older published values, a route that is not found may have been added since."""
@@ -77,6 +77,7 @@
         self._names = names
         self._log = log
         self._metrics = counters
+        self._caller_timeouts = caller_timeouts.CallerTimeouts()
         self.stopping = False
         """Whether new requests are refused because the process is about to exit."""
         self._split_by_route: dict[tuple[int, str, str], weighted_split.WeightedSplit] = {}
@@ -129,11 +130,13 @@
         current: configuration.Configuration,
     ) -> call.Call:
         caller_timeout_s = _parse_timeout_s(received.value_by_name.get(self._names.timeout_ms))
-        remaining_s = (
-            matched_route.timeout_s
-            if caller_timeout_s is None
-            else min(caller_timeout_s, matched_route.timeout_s)
-        )
+        remaining_s = matched_route.timeout_s
+        elapsed_s = 0.0
+        if caller_timeout_s is not None:
+            remaining_s = min(caller_timeout_s, remaining_s)
+            elapsed_s = self._caller_timeouts.elapsed_s(
+                received.received_s, matched_route.name, caller_timeout_s
+            )
         forwarded_fields = fields.forwarded(received.fields, drop=self._dropped_fields)
         forwarded_fields.append((self._names.caller_service, self._own_service().encode()))
         return call.Call(
@@ -148,7 +151,8 @@
             priority=matched_route.priority,
             max_attempts=matched_route.max_attempts,
             arrived_s=received.received_s,
-            soft_deadline_s=received.received_s + matched_route.target_latency_s,
+            target_latency_s=matched_route.target_latency_s,
+            soft_deadline_s=received.received_s + matched_route.target_latency_s - elapsed_s,
             deadline_s=received.received_s + remaining_s,
         )
 
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -110,6 +110,7 @@
         priority=1,
         max_attempts=max_attempts,
         arrived_s=now,
+        target_latency_s=0.15,
         soft_deadline_s=now + remaining_s,
         deadline_s=now + remaining_s,
     )
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_cold_restart.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_cold_restart.py
@@ -123,17 +123,17 @@
         speed = start_policy.Speed(
             slowness=slowness, slow_for_s=now - last_normal_s, baseline=known_baseline()
         )
-        while len(ends) < SLOTS and (entry := queue.pop_next(now)) is not None:
-            remaining_s = entry.deadline_s - now
+        while len(ends) < SLOTS and (next_entry := queue.pop_next(now)) is not None:
+            remaining_s = next_entry.deadline_s - now
             if not start_policy.should_start_now(
                 speed=speed, service_time_s=WORK_S, remaining_s=remaining_s
             ):
-                queue.add(entry)
+                queue.add(next_entry)
                 break
             end_s = now + WORK_S * slowness
             heapq.heappush(ends, end_s)
-            in_time += end_s <= entry.soft_deadline_s
-            late += end_s > entry.soft_deadline_s
+            in_time += end_s <= next_entry.soft_deadline_s
+            late += end_s > next_entry.soft_deadline_s
     return in_time, late
 
 
