Let few nodes of a large fleet read the store

Each change was pulled 320 times by 195 nodes.

Change: a started node waits up to 0.15 s for the values of a peer before it reads the store. A node pulls a revision from one peer at a time.

--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -35,6 +35,7 @@
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
 from laburnumford_mesh.http import edge_server, request
+from laburnumford_policy.placement import spread
 
 _GOSSIP_INTERVAL_S = 0.2
 """Seconds; with a fanout of three, all nodes learn within about 1 s that the store does not answer."""
@@ -378,8 +379,14 @@
             self._incarnation_by_ip[ip] = frame.incarnation
             self._services.unblock(ip)
         if self._sync.observe_peer_revision(frame.revision, frame.age_s):
-            self._peers.get(ip).pull(self._sync.revision)
-        elif frame.revision < self._sync.revision:
+            if self._sync.should_pull(frame.revision):
+                self._peers.get(ip).pull(self._sync.revision)
+        elif spread.should_reply(
+            own_revision=self._sync.revision,
+            own_age_s=self._sync.age_s(),
+            peer_revision=frame.revision,
+            peer_age_s=frame.age_s,
+        ):
             self._gossip.send((ip, self._settings.peer_port), self._digest())
 
     def _handle_go_away(self, ip: str) -> None:
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -1,6 +1,7 @@
 """Keeps the published values current: few nodes read the store, the others learn from peers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -29,6 +30,17 @@
 _MAX_AGE_JITTER_S = 0.4
 """Seconds; keeps nodes that get no updates from reading the store at the same moment."""
 
+_MAX_FIRST_READ_DELAY_S = 0.15
+"""Seconds until a started node reads the store itself. Nodes that were started at the same moment
+wait for different times, and the first one that has read the store tells the others."""
+
+_FIRST_READ_CHECK_INTERVAL_S = 0.01
+"""Seconds between two checks whether a peer has sent the values to a started node."""
+
+_PULL_TIMEOUT_S = 0.15
+"""Seconds in which a pull is not repeated for the same revision. Each of the nodes that tell of a
+change would otherwise be asked for it."""
+
 _AGE_CHECK_INTERVAL_S = 0.1
 """Seconds between two checks of the age of the values."""
 
@@ -83,6 +95,8 @@
         self._failure_count = 0
         self._history_lost = False
         self._jittered_max_age_s = _MAX_AGE_S
+        self._pulled_revision = 0
+        self._last_pull_s = -math.inf
         self.read_count = 0
         self.pull_count = 0
 
@@ -103,6 +117,9 @@
 
     async def run(self) -> None:
         """Reads the store as the reader, or whenever the values are too old, until cancelled."""
+        first_read_s = clock.now() + self._generator.random() * _MAX_FIRST_READ_DELAY_S
+        while not self.revision and clock.now() < first_read_s:
+            await asyncio.sleep(_FIRST_READ_CHECK_INTERVAL_S)
         while True:
             if self.revision and not self._is_reader() and self.age_s() < self._max_age_s():
                 await asyncio.sleep(_AGE_CHECK_INTERVAL_S)
@@ -120,6 +137,15 @@
             self._mark_current(clock.now() - age_s)
         return False
 
+    def should_pull(self, revision: int) -> bool:
+        """Returns whether to ask a peer for a newer revision; not while another one is asked."""
+        now = clock.now()
+        if revision <= self._pulled_revision and now - self._last_pull_s < _PULL_TIMEOUT_S:
+            return False
+        self._pulled_revision = revision
+        self._last_pull_s = now
+        return True
+
     def apply_peer_records(
         self, records: Sequence[record.Record], revision: int, age_s: float, *, is_snapshot: bool
     ) -> None:
--- a/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
@@ -57,7 +57,7 @@
             rank=lambda: rank,
             on_records=observer.on_records,
             log=log,
-            generator=random.Random(1),
+            generator=random.Random(rank),
         )
         tasks.append(asyncio.create_task(made.run()))
         return made, observer
@@ -142,3 +142,26 @@
     busy_store.put("servers/0", None)
     await waiting.until(lambda: observer.after_outage)
     assert observer.after_outage[0] is True
+
+
+async def test_started_node_gets_the_values_from_a_peer(busy_store, start):
+    """Guards against a read of the store by each of hundreds of nodes that start together."""
+    syncs = [start(rank)[0] for rank in range(2, 22)]
+    await waiting.until(lambda: any(each.revision for each in syncs))
+    first = next(each for each in syncs if each.revision)
+    records, is_snapshot = first.changes_since(0)
+    for each in syncs:
+        if each.observe_peer_revision(first.revision, 0.0):
+            each.apply_peer_records(records, first.revision, 0.0, is_snapshot=is_snapshot)
+    assert all(each.revision for each in syncs)
+    assert sum(each.read_count for each in syncs) <= 5
+
+
+async def test_change_is_pulled_from_one_peer(start):
+    """Guards against asking every node that tells of a change for the same values."""
+    made, _ = start(5)
+    assert made.should_pull(9)
+    assert not made.should_pull(9)
+    assert made.should_pull(10)
+    await asyncio.sleep(0.2)
+    assert made.should_pull(10)
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_cold_restart.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_cold_restart.py
@@ -85,7 +85,7 @@
     server_baseline.expect_cold()
     queue = work_queue.WorkQueue(service_time_s=lambda _: WORK_S * known_baseline())
     entry_ids = itertools.count()
-    ends = []
+    ends: list[float] = []
     last_normal_s = 0.0
     in_time = late = 0
 
