Learn how long slowdowns last

Cause: the expected rest of a slowdown, the validity of a report and the window of the baseline were fixed for slowdowns of 150 ms. On other deployments speeds change every half second: reports were forgotten in the middle of a slowdown, and two slowdowns in a row counted as the speed to which a server returns.

Change: SlowdownDuration measures the slowdowns of the adjacent server while reports are dense; load reports carry the mean. The baseline covers 2.5 s.

--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -26,6 +26,7 @@
         slow_for_s: seconds from the server's last report outside a slowdown to its latest report,
             0 outside a slowdown.
         baseline: slowness without the slowdown.
+        mean_slowdown_s: mean duration of the slowdowns of the server in seconds.
     """
 
     server_id: str
@@ -37,6 +38,7 @@
     slowness_age_s: float
     slow_for_s: float
     baseline: float = 1.0
+    mean_slowdown_s: float = 0.2
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=0):
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -60,9 +60,9 @@
 """Time for which the server counts as down after a failed connect."""
 
 _DRAIN_START_WINDOW_S = 1.0
-"""Time after the start of draining in which requests still start. It is half of the shortest
-published time after which the server must get no more requests, so that waiting requests can move
-to another server."""
+"""Seconds after this node has learned of the draining in which requests still start. A node learns
+of a change up to 1.5 s late if gossip or the store fails for a moment, and the shortest published
+time after which the server must get no more requests is 2 s."""
 
 _DEADLINE_GRACE_S = 0.03
 """Allowance for an answer that the server sends at the deadline to arrive."""
@@ -177,16 +177,18 @@
     def report(self) -> frames.LoadReport:
         """Returns a load report for other nodes."""
         now = clock.now()
+        speed = self._speed.current()
         return frames.LoadReport(
             self.server_id,
             next(self._report_ids),
             self.running,
             len(self._queue),
             self.limit,
-            self._speed.slowness,
+            speed.slowness,
             self._speed.age_s(now),
-            self._speed.current().slow_for_s,
-            self._speed.baseline,
+            speed.slow_for_s,
+            speed.baseline,
+            speed.mean_slowdown_s,
         )
 
     def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
--- a/packages/mesh/src/laburnumford_mesh/server_speed.py
+++ b/packages/mesh/src/laburnumford_mesh/server_speed.py
@@ -3,7 +3,7 @@
 import math
 
 from laburnumford_mesh import clock
-from laburnumford_policy.placement import baseline_slowness, start_policy
+from laburnumford_policy.placement import baseline_slowness, slowdown_duration, start_policy
 
 _MIN_REPORTED_CHANGE = 0.3
 """Relative change of the slowness that other nodes are told at once."""
@@ -23,6 +23,7 @@
         self.slowness = 1.0
         self._observed_s = -math.inf
         self._baseline = baseline_slowness.BaselineSlowness()
+        self._slowdown_duration = slowdown_duration.SlowdownDuration()
         self._last_normal_s = clock.now()
 
     @property
@@ -49,6 +50,7 @@
         self.slowness = slowness
         self._observed_s = clock.now()
         self._baseline.observe(self._observed_s, slowness)
+        self._slowdown_duration.observe(self._observed_s, slow=self.slow)
         if not self.slow:
             self._last_normal_s = self._observed_s
         return changed
@@ -57,5 +59,8 @@
         """Returns the latest speed, with the duration of a slowdown."""
         slow_for_s = self._observed_s - self._last_normal_s if self.slow else 0.0
         return start_policy.Speed(
-            slowness=self.slowness, slow_for_s=max(slow_for_s, 0.0), baseline=self.baseline
+            slowness=self.slowness,
+            slow_for_s=max(slow_for_s, 0.0),
+            baseline=self.baseline,
+            mean_slowdown_s=self._slowdown_duration.mean_s,
         )
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -107,6 +107,7 @@
                 slowness_age_s=report.slowness_age_s,
                 slow_for_s=report.slow_for_s,
                 baseline=report.baseline,
+                mean_slowdown_s=report.mean_slowdown_s,
             )
 
     def block(self, ip: str, seconds: float) -> None:
--- a/packages/policy/src/laburnumford_policy/placement/baseline_slowness.py
+++ b/packages/policy/src/laburnumford_policy/placement/baseline_slowness.py
@@ -12,10 +12,10 @@
 COLD_SLOWNESS = 2.0
 """Slowness assumed for a server that has just started until its speed has been observed."""
 
-_WINDOW_S = 0.8
+_WINDOW_S = 2.5
 """Slowdowns by other VMs rarely last as long."""
 
-_MIN_COVERED_S = 0.6
+_MIN_COVERED_S = 2.0
 """Time that the reports must cover before they raise the baseline."""
 
 _MIN_REPORTS = 4
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -2,11 +2,11 @@
 
 import math
 
-from laburnumford_policy.placement import baseline_slowness, start_policy
+from laburnumford_policy.placement import baseline_slowness, slowdown_duration, start_policy
 
-_SLOWNESS_DECAY_S = 0.15
-"""Time constant with which a reported slowdown decays to the long-term mean. The load of other
-VMs on the same machine changes within some hundred milliseconds."""
+_SLOWDOWN_DECAY_SHARE = 0.75
+"""Share of the mean duration of slowdowns that is the time constant with which a reported slowdown
+decays to the long-term mean."""
 
 _BASELINE_VALIDITY_S = 1.0
 """Age of a report up to which its baseline is used."""
@@ -60,6 +60,7 @@
         self._slow_for_s = 0.0
         self._baseline = 1.0
         self._mean_slowdown = 1.0
+        self._mean_slowdown_s = slowdown_duration.DEFAULT_S
         self._failure_share = 0.0
         self._failure_at_s = 0.0
 
@@ -84,6 +85,7 @@
         slowness_age_s: float,
         slow_for_s: float,
         baseline: float = 1.0,
+        mean_slowdown_s: float = slowdown_duration.DEFAULT_S,
     ) -> None:
         """Applies a load report; a report older than the last one is ignored."""
         if sequence < self._sequence:
@@ -98,6 +100,7 @@
             self._slow_for_s = slow_for_s
             self._slowness_at_s = at_s
             self._baseline = baseline
+            self._mean_slowdown_s = mean_slowdown_s
             slowdown = slowness / baseline
             self._mean_slowdown += _SLOWNESS_REPORT_WEIGHT * (slowdown - self._mean_slowdown)
 
@@ -143,12 +146,15 @@
 
     def _speed(self, now: float) -> start_policy.Speed:
         age_s = max(now - self._slowness_at_s, 0.0)
-        weight = math.exp(-age_s / _SLOWNESS_DECAY_S)
+        weight = math.exp(-age_s / (_SLOWDOWN_DECAY_SHARE * self._mean_slowdown_s))
         reported = self._slowness / self._baseline
         slowdown = self._mean_slowdown + (reported - self._mean_slowdown) * weight
         baseline = self.baseline(now)
         return start_policy.Speed(
-            slowness=slowdown * baseline, slow_for_s=self._slow_for_s, baseline=baseline
+            slowness=slowdown * baseline,
+            slow_for_s=self._slow_for_s,
+            baseline=baseline,
+            mean_slowdown_s=self._mean_slowdown_s,
         )
 
     def has_free_slot(self) -> bool:
--- a/packages/policy/src/laburnumford_policy/placement/start_policy.py
+++ b/packages/policy/src/laburnumford_policy/placement/start_policy.py
@@ -8,8 +8,13 @@
 
 import dataclasses
 
-MIN_REMAINING_SLOWDOWN_S = 0.1
-"""Expected remaining time of a slowdown that was just detected."""
+from laburnumford_policy.placement import slowdown_duration
+
+_REMAINING_SHARE = 0.5
+"""Share of the mean duration that remains of a slowdown that was just detected."""
+
+MIN_REMAINING_SLOWDOWN_S = _REMAINING_SHARE * slowdown_duration.DEFAULT_S
+"""Expected remaining time of a new slowdown until durations have been observed."""
 
 SLOWNESS_THRESHOLD = 1.5
 """Up to this multiple of its baseline a server does not count as slowed down."""
@@ -23,11 +28,13 @@
         slowness: current service time divided by the normal one; 1.0 is normal speed.
         slow_for_s: seconds since the server was last seen outside a slowdown, 0 if it is now.
         baseline: slowness without the slowdown; above 1 while the server is cold.
+        mean_slowdown_s: mean duration of the slowdowns of the server in seconds.
     """
 
     slowness: float
     slow_for_s: float
     baseline: float = 1.0
+    mean_slowdown_s: float = slowdown_duration.DEFAULT_S
 
     @property
     def slow(self) -> bool:
@@ -37,7 +44,7 @@
 
 def remaining_slowdown_s(speed: Speed) -> float:
     """Returns the expected remaining time of a slowdown; it grows with the time elapsed."""
-    return max(MIN_REMAINING_SLOWDOWN_S, speed.slow_for_s)
+    return max(_REMAINING_SHARE * speed.mean_slowdown_s, speed.slow_for_s)
 
 
 def expected_completion_s(speed: Speed, service_time_s: float) -> float:
