--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -59,7 +59,7 @@
 _DOWN_AFTER_CONNECT_ERROR_S = 0.3
 """Time for which the server counts as down after a failed connect."""
 
-_DRAIN_START_WINDOW_S = 1.0
+_DRAIN_START_WINDOW_S = 0.4
 """Seconds after this node has learned of the draining in which requests still start. A node learns
 of a change up to 1.5 s late if gossip or the store fails for a moment, and the shortest published
 time after which the server must get no more requests is 2 s."""
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -259,6 +259,18 @@
     assert (await local.run(again)).status == 200
 
 
+async def test_draining_server_gets_no_request_half_a_second_later(local, backend):
+    """Guards against a request that reaches a server after the published time to leave.
+
+    The node may have learned of the draining 1.5 s late, and 2 s are published.
+    """
+    local.observe_draining(draining=True)
+    assert (await local.run(_request("early"))).status == 200
+    await asyncio.sleep(0.5)
+    assert (await local.run(_request("late"))).reason == "server-draining"
+    assert backend.runs == ["early"]
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 async def test_endless_answer_frees_slot_and_connection(log, idempotent):
     """Guards against a flooding server that keeps a slot, and against a refusal of what ran."""
