Give late requests no slot that new ones need

Cause: a late request was admitted whenever no other waited at that moment. Under three times the load half of the answers of a cold fleet were late, while requests that could have been in time were refused a few milliseconds afterwards.

Change: for one service time after a server has refused a request that could have been in time, it refuses those that are late.

--- a/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_work_queue.py
@@ -131,3 +131,20 @@
     assert queue.count_ahead_of(fresh, 0.5) == 0
     queue.add(fresh)
     assert queue.pop_next(0.5).entry_id == 10
+
+
+def test_late_request_gets_no_slot_that_new_ones_need(queue):
+    """Guards against slots that are used for late answers while new requests are refused.
+
+    Load pattern: three times as many requests as slots, among them callers that return after a
+    refusal. Half of the answers of a cold fleet were late, while requests were refused that could
+    have been in time.
+    """
+    returning = _entry(1, soft_deadline_s=0.4)
+    assert queue.should_enqueue(returning, 0.5, 0.0)
+    queue.add(_entry(2))
+    assert not queue.should_enqueue(_entry(3, soft_deadline_s=0.7), 0.5, 0.6)
+    queue.remove(2)
+    assert not queue.should_enqueue(returning, 0.55, 0.0)
+    assert queue.should_enqueue(_entry(4, soft_deadline_s=1.0), 0.55, 0.0)
+    assert queue.should_enqueue(returning, 0.7, 0.0)
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable
 
 _WAIT_MARGIN = 2.0
@@ -46,6 +47,7 @@
     def __init__(self, *, service_time_s: Callable[[str], float]) -> None:
         self._service_time_s = service_time_s
         self._waiting_by_id: dict[int, WaitingRequest] = {}
+        self._last_crowded_out_s = -math.inf
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -69,7 +71,7 @@
         """Returns whether a request should wait here.
 
         A request that will be late takes a slot from one that would be in time, so it waits only
-        if no other request does.
+        if no other request does and if none that could be in time was refused lately.
 
         Args:
             entry: the request.
@@ -77,10 +79,18 @@
             wait_s: expected time until a slot is free.
             reserved: accepted offers whose requests have not arrived.
         """
-        end_s = now + _WAIT_MARGIN * wait_s + self._service_time_s(entry.request_class)
+        service_time_s = self._service_time_s(entry.request_class)
+        end_s = now + _WAIT_MARGIN * wait_s + service_time_s
         if end_s <= entry.late_after_s:
             return True
-        return end_s <= entry.deadline_s and not self._waiting_by_id and not reserved
+        late = self._is_late(entry, now)
+        others = bool(self._waiting_by_id) or reserved > 0
+        crowded = late and now - self._last_crowded_out_s < service_time_s
+        if end_s <= entry.deadline_s and not others and not crowded:
+            return True
+        if not late:
+            self._last_crowded_out_s = now
+        return False
 
     def shed(self, now: float) -> list[WaitingRequest]:
         """Removes and returns the requests that should not wait any longer.
