Assume a service time that is shorter than the time the caller waits

Cause: a third of the published target latency may be longer than the deadline of a new route.

Change: the assumed time is at most a third of the time that the caller waits.

Result: test_unknown_kind_of_request_is_tried_despite_a_short_deadline failed before.

--- a/packages/mesh/src/laburnumford_mesh/call.py
+++ b/packages/mesh/src/laburnumford_mesh/call.py
@@ -47,5 +47,9 @@
 
     @property
     def default_service_time_s(self) -> float:
-        """Service time in seconds that is assumed until one has been observed."""
-        return self.target_latency_s * _SERVICE_TIME_SHARE
+        """Service time in seconds that is assumed until one has been observed.
+
+        It is always shorter than the time that the caller waits: a kind of request that was refused
+        because of the assumed time would never be observed.
+        """
+        return min(self.target_latency_s, self.deadline_s - self.arrived_s) * _SERVICE_TIME_SHARE
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -92,11 +92,17 @@
     return lambda request: frames.Refusal(request.call_id, reason, 0.2, _report(request))
 
 
+def _slow_answer(service_time_s):
+    return lambda request: frames.Answer(
+        request.call_id, 200, b"", [], b"", service_time_s, _report(request)
+    )
+
+
 def _unknown(request):
     return frames.UnknownOutcome(request.call_id, "peer-timeout", _report(request))
 
 
-def _call(*, remaining_s=2.0, max_attempts=3, body=b"", idempotent=True):
+def _call(*, remaining_s=2.0, max_attempts=3, body=b"", idempotent=True, target_latency_s=0.15):
     now = clock.now()
     return call.Call(
         request_id="1",
@@ -110,7 +116,7 @@
         priority=1,
         max_attempts=max_attempts,
         arrived_s=now,
-        target_latency_s=0.15,
+        target_latency_s=target_latency_s,
         soft_deadline_s=now + remaining_s,
         deadline_s=now + remaining_s,
     )
@@ -268,3 +274,27 @@
     await two_server_dispatcher.dispatch(_call(idempotent=False))
     await two_server_dispatcher.dispatch(_call())
     assert scripted.offers == []
+
+
+async def test_unknown_kind_of_request_is_tried_despite_a_short_deadline(
+    scripted, two_server_dispatcher
+):
+    """Guards against a route that is never served because its assumed service time is too long.
+
+    The published target latency of a new route may be longer than its callers wait.
+    """
+    scripted.results = [(0.0, _answer(200))]
+    ongoing = _call(remaining_s=0.3, target_latency_s=1.0)
+    assert (await two_server_dispatcher.dispatch(ongoing)).status == 200
+
+
+async def test_request_that_no_server_can_finish_is_refused_at_once(
+    scripted, two_server_dispatcher
+):
+    """Guards against a request that several nodes refuse one after the other."""
+    scripted.results = [(0.0, _slow_answer(0.5))]
+    await two_server_dispatcher.dispatch(_call())
+    sent = len(scripted.requests)
+    with pytest.raises(errors.RefusedError, match="deadline"):
+        await two_server_dispatcher.dispatch(_call(remaining_s=0.3))
+    assert len(scripted.requests) == sent
