Handle failed connects to the server in one place

Cause: the nested handler re-raised one error only to catch it below.

Change: one list of handlers, the closed connection before the failed connect. Behaviour is unchanged.

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -366,16 +366,7 @@
         running = self.running
         try:
             max_idle_s = _UNLIMITED_IDLE_S if request.idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
-            try:
-                connection = await self._pool.acquire(max_idle_s)
-            except http_errors.ConnectionClosedError:
-                raise
-            except http_errors.ConnectError:
-                self._down_until_s = clock.now() + _DOWN_AFTER_CONNECT_ERROR_S
-                if not self._unreachable:
-                    self._unreachable = True
-                    self._log.write("server_lost", server=request.server_id)
-                return self.refusal(request.call_id, "server-down")
+            connection = await self._pool.acquire(max_idle_s)
             sent_s = clock.now()
             remaining_s = deadline_s - sent_s
             if remaining_s <= 0:
@@ -406,6 +397,12 @@
             # A server resets connections while it is full. Nothing was written, so the request
             # did not run, and the server is not down.
             return self.refusal(request.call_id, "server-full")
+        except http_errors.ConnectError:
+            self._down_until_s = clock.now() + _DOWN_AFTER_CONNECT_ERROR_S
+            if not self._unreachable:
+                self._unreachable = True
+                self._log.write("server_lost", server=request.server_id)
+            return self.refusal(request.call_id, "server-down")
         except http_errors.HttpError as error:
             self._log.write("answer_broken", server=request.server_id, error=str(error))
             return frames.UnknownOutcome(request.call_id, "answer-broken", self.report())
