--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -361,6 +361,7 @@
 
     async def _exchange(self, request: frames.Request, deadline_s: float) -> Any:
         connection: server_connection.ServerConnection | None = None
+        request_id = fields.get(request.fields, self._names.request_id)
         sent_s = clock.now()
         slowness = self._speed.slowness
         running = self.running
@@ -375,7 +376,7 @@
                 answer = await connection.send(
                     request.method,
                     server_request.encode(request, self._names, remaining_s),
-                    fields.get(request.fields, self._names.request_id),
+                    request_id,
                 )
             self.run_count += 1
             if self._unreachable:
@@ -404,7 +405,12 @@
                 self._log.write("server_lost", server=request.server_id)
             return self.refusal(request.call_id, "server-down")
         except http_errors.HttpError as error:
-            self._log.write("answer_broken", server=request.server_id, error=str(error))
+            self._log.write(
+                "answer_broken",
+                id=(request_id or b"").decode("latin-1"),
+                server=request.server_id,
+                error=str(error),
+            )
             return frames.UnknownOutcome(request.call_id, "answer-broken", self.report())
         except asyncio.CancelledError:
             self._close_connection(connection)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 from typing import Any
 
 import pytest
@@ -259,6 +260,15 @@
     assert (await local.run(again)).status == 200
 
 
+async def test_broken_answer_is_logged_with_the_id_of_its_request(local, backend, tmp_path):
+    """Guards against a broken answer that an engineer cannot assign to a request."""
+    backend.raw_answers = {"7": b"\x00 no answer\r\n\r\n"}
+    assert isinstance(await local.run(_request("7")), frames.UnknownOutcome)
+    lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    broken = [line for line in lines if line["event"] == "answer_broken"]
+    assert [line["id"] for line in broken] == ["7"]
+
+
 async def test_draining_server_gets_no_request_half_a_second_later(local, backend):
     """Guards against a request that reaches a server after the published time to leave.
 
