Leave half of the retry budget to the calls of repeated runs

The nodes use 0.7 of the bound for their own retries. A run of another service that is repeated makes its calls again; they count as repeats at the called service, and no node can tell them from other calls.

Change: 0.45 of the bound. If each run makes one call, both parts fit.

--- a/packages/policy/src/laburnumford_policy/placement/shared_retry_budget.py
+++ b/packages/policy/src/laburnumford_policy/placement/shared_retry_budget.py
@@ -1,7 +1,9 @@
 """Bound on the requests that reach a service more than once.
 
 Load pattern: a service that fails or slows down. Without a bound, the retries and hedged requests
-of all nodes together multiply the load while the service is overloaded.
+of all nodes together multiply the load while the service is overloaded. A run that is repeated
+makes its calls to other services again, and these count as repeats there, too, although no node can
+tell them from other calls.
 """
 
 import collections
@@ -22,11 +24,13 @@
         ratio: retries allowed for each request.
         slack: additional retries allowed in a window, for all nodes together.
         window_s: length of the sliding window in seconds.
-        bound_share: share of the bound that is used; the rest covers nodes that start or stop.
+        bound_share: share of the bound that is used. The other half is left for the calls of
+            repeated runs, of which there are as many at most if each run makes one call, and a
+            little for nodes that start or stop.
     """
 
     def __init__(
-        self, *, ratio: float, slack: float, window_s: float, bound_share: float = 0.7
+        self, *, ratio: float, slack: float, window_s: float, bound_share: float = 0.45
     ) -> None:
         self._ratio = ratio
         self._slack = slack
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_shared_retry_budget.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_shared_retry_budget.py
@@ -57,3 +57,30 @@
     many = _make(64)
     assert single == 1
     assert sum(many.take(0.0) for _ in range(10)) == 0
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=50)
+@hypothesis.given(
+    strategies.integers(0, 3000), strategies.integers(0, 3000), strategies.integers(1, 20)
+)
+def test_calls_of_repeated_runs_fit_into_the_bound_of_the_called_service(
+    calling_requests, own_requests, nodes
+):
+    """Guards against a called service that gets more repeats than the platform allows.
+
+    Load pattern: a service fails part of its requests, and so do the requests of another service
+    that call it once each. The nodes retry both, and a run that is repeated makes its call again.
+    On a randomised benchmark day 791 arrivals were repeats; 724 were allowed.
+    """
+    calling = [_make(nodes) for _ in range(nodes)]
+    called = [_make(nodes) for _ in range(nodes)]
+    for index in range(calling_requests):
+        calling[index % nodes].observe_request(0.0)
+        called[index % nodes].observe_request(0.0)
+    for index in range(own_requests):
+        called[index % nodes].observe_request(0.0)
+    repeats = 0
+    for budget in (*calling, *called):
+        while budget.take(0.0):
+            repeats += 1
+    assert repeats <= RATIO * (calling_requests + own_requests) + SLACK
