--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -172,10 +172,8 @@
                 return self._give_up(
                     history, "no-server" if not history.excluded_server_ids else "no-room"
                 )
-            service_time_s = state.placement.mean_service_time_s(
-                ongoing.route_name, ongoing.default_service_time_s
-            )
-            if now + service_time_s * view.baseline(now) > ongoing.deadline_s:
+            service_time_s = _service_time_s(ongoing, state) * view.baseline(now)
+            if now + service_time_s > ongoing.deadline_s:
                 # The node of every server would refuse it.
                 return self._give_up(history, "deadline")
             if history.server_attempts and not self._may_retry(ongoing, state, history):
@@ -293,10 +291,7 @@
     def _hedge_delay_s(
         ongoing: call.Call, state: services.ServiceState, view: server_view.ServerView
     ) -> float:
-        service_time_s = state.placement.mean_service_time_s(
-            ongoing.route_name, ongoing.default_service_time_s
-        )
-        service_time_s *= view.baseline(clock.now())
+        service_time_s = _service_time_s(ongoing, state) * view.baseline(clock.now())
         return max(view.round_trip_s + service_time_s * _HEDGE_DELAY_FACTOR, _MIN_HEDGE_DELAY_S)
 
     @staticmethod
@@ -317,9 +312,7 @@
         )
         if hedge_view is None or not hedge_view.has_free_slot():
             return None
-        service_time_s = state.placement.mean_service_time_s(
-            ongoing.route_name, ongoing.default_service_time_s
-        )
+        service_time_s = _service_time_s(ongoing, state)
         if now + service_time_s > ongoing.deadline_s or not state.retry_budget.take(now):
             return None
         return hedge_view
@@ -371,9 +364,7 @@
                 or len(history.slow_server_ids) >= _MAX_SLOW_REFUSALS
             ),
             offer_accepted=False,
-            service_time_s=state.placement.mean_service_time_s(
-                ongoing.route_name, ongoing.default_service_time_s
-            ),
+            service_time_s=_service_time_s(ongoing, state),
         )
         if entry is None:
             return self._local.refusal(frame.call_id, "no-server")
@@ -467,3 +458,8 @@
         else:
             values["refused" if isinstance(result, frames.Refusal) else "unknown"] = result.reason
         self._log.write("attempt", **values)
+
+
+def _service_time_s(ongoing: call.Call, state: services.ServiceState) -> float:
+    """Returns the expected service time of a request at normal speed in seconds."""
+    return state.placement.mean_service_time_s(ongoing.route_name, ongoing.default_service_time_s)
