Ignore delayed renewals of server entries

Renewals carry a number that grows, which nodes did not read.

Change: of one start of a server, a renewal with a lower number than the known entry is ignored, after a removal also one with the same number. Log line entry_outdated.

Result: three cases of two tests failed before.

--- a/packages/mesh/src/laburnumford_mesh/directory.py
+++ b/packages/mesh/src/laburnumford_mesh/directory.py
@@ -1,5 +1,6 @@
 """Active configuration and registered backend servers."""
 
+import collections
 from collections.abc import Callable, Iterable
 
 from laburnumford_mesh import clock, configuration, event_log, record, server_entry
@@ -8,6 +9,9 @@
 """Entries that expired during an outage of the store are registered again within this time after
 its end."""
 
+_MAX_REMOVED_ENTRIES = 4096
+"""Removed entries that are remembered, so that a delayed renewal does not register one again."""
+
 Decoded = configuration.Configuration | server_entry.ServerEntry | None
 Decoder = Callable[[record.Record], Decoded]
 """Returns the decoded record, or None if it is invalid or irrelevant; invalid ones are logged."""
@@ -30,6 +34,9 @@
         self._on_change = on_change
         self._entry_by_key: dict[str, server_entry.ServerEntry] = {}
         self._retained_until_by_key: dict[str, float] = {}
+        self._removed_entry_by_key: collections.OrderedDict[str, server_entry.ServerEntry] = (
+            collections.OrderedDict()
+        )
         self.configuration: configuration.Configuration | None = None
 
     def servers(self) -> list[server_entry.ServerEntry]:
@@ -64,9 +71,7 @@
                 continue
             decoded = self._decode(each)
             if isinstance(decoded, server_entry.ServerEntry):
-                self._entry_by_key[each.key] = decoded
-                self._retained_until_by_key.pop(each.key, None)
-                changed = True
+                changed |= self._register(each.key, decoded)
             elif isinstance(decoded, configuration.Configuration):
                 changed |= self._activate(decoded)
             elif each.key in self._entry_by_key:
@@ -86,6 +91,36 @@
         if expired:
             self._on_change()
 
+    def _register(self, key: str, entry: server_entry.ServerEntry) -> bool:
+        if self._is_outdated(key, entry):
+            self._log.write("entry_outdated", server=entry.server_id, sequence=entry.sequence)
+            return False
+        self._entry_by_key[key] = entry
+        self._removed_entry_by_key.pop(key, None)
+        self._retained_until_by_key.pop(key, None)
+        return True
+
+    def _is_outdated(self, key: str, entry: server_entry.ServerEntry) -> bool:
+        """Returns whether the server wrote an entry before the latest known one.
+
+        A delayed renewal may reach the store after a later one, or after the removal.
+        """
+        found = entry.registration_key
+        known = self._entry_by_key.get(key)
+        if found is None:
+            return False
+        if known is not None:
+            return known.registration_key is not None and found < known.registration_key
+        removed = self._removed_entry_by_key.get(key)
+        if removed is None or removed.registration_key is None:
+            return False
+        return found <= removed.registration_key
+
+    def _remember_removed(self, key: str, entry: server_entry.ServerEntry) -> None:
+        self._removed_entry_by_key[key] = entry
+        if len(self._removed_entry_by_key) > _MAX_REMOVED_ENTRIES:
+            self._removed_entry_by_key.popitem(last=False)
+
     def _remove(self, key: str, after_outage: bool) -> bool:
         entry = self._entry_by_key.get(key)
         if entry is None:
@@ -94,6 +129,7 @@
             self._retained_until_by_key.setdefault(key, clock.now() + _REGISTRATION_GRACE_S)
             return False
         del self._entry_by_key[key]
+        self._remember_removed(key, entry)
         self._retained_until_by_key.pop(key, None)
         self._log.write("server_removed", server=entry.server_id, service=entry.service)
         return True
--- a/packages/mesh/src/laburnumford_mesh/server_entry.py
+++ b/packages/mesh/src/laburnumford_mesh/server_entry.py
@@ -16,6 +16,7 @@
         draining: whether the server takes no new requests because it is about to stop.
         cold_remaining_s: seconds until the server reaches normal speed after its start.
         started_ms: Unix time of the start of the server in milliseconds, 0 if unknown.
+        sequence: number of the server's registrations since its start; it grows with each renewal.
         revision: revision of the last change of the entry.
     """
 
@@ -27,6 +28,7 @@
     draining: bool
     cold_remaining_s: float
     started_ms: int
+    sequence: int
     revision: int
 
     @property
@@ -34,6 +36,14 @@
         """Sort key of entries with the same address; the largest belongs to the current server."""
         return (self.started_ms, self.revision)
 
+    @property
+    def registration_key(self) -> tuple[int, int] | None:
+        """Sort key of the registrations of one server id, None if its start is unknown.
+
+        The numbers start again with the server, so they are comparable only with its start.
+        """
+        return (self.started_ms, self.sequence) if self.started_ms else None
+
     @property
     def ip(self) -> str:
         """IP address of the VM of the server."""
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -207,7 +207,9 @@
     )
 
 
-def make_entry(server_id, address, *, service="s", draining=False, started_ms=1, revision=1):
+def make_entry(
+    server_id, address, *, service="s", draining=False, started_ms=1, sequence=1, revision=1
+):
     """Returns a server entry."""
     return server_entry.ServerEntry(
         server_id=server_id,
@@ -218,6 +220,7 @@
         draining=draining,
         cold_remaining_s=0.0,
         started_ms=started_ms,
+        sequence=sequence,
         revision=revision,
     )
 
--- a/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
@@ -96,3 +96,43 @@
     objects["servers/a"] = None
     server_directory.apply([record.Record("servers/a", 2, b"junk")], after_outage=False)
     assert _ids(server_directory) == set()
+
+
+def _renewal(sequence, *, draining=False, started_ms=5):
+    return conftest.make_entry(
+        "a", "1.1.1.1:1", draining=draining, started_ms=started_ms, sequence=sequence
+    )
+
+
+def test_delayed_renewal_does_not_undo_draining(server_directory, objects):
+    """Guards against requests to a server that stops, because an old renewal arrived late."""
+    _put(server_directory, objects, "servers/a", _renewal(3, draining=True))
+    _put(server_directory, objects, "servers/a", _renewal(2))
+    assert not _ids(server_directory)
+
+
+@pytest.mark.parametrize("sequence", [2, 3])
+def test_delayed_renewal_does_not_register_a_removed_server(server_directory, objects, sequence):
+    """Guards against requests to a server that has ended, because an old renewal arrived late."""
+    _put(server_directory, objects, "servers/a", _renewal(3))
+    _put(server_directory, objects, "servers/a", None)
+    _put(server_directory, objects, "servers/a", _renewal(sequence))
+    assert not _ids(server_directory)
+
+
+def test_later_renewal_and_restart_of_a_removed_server_register_it(server_directory, objects):
+    """Guards against a server that stays unused after its entry lapsed or after its restart."""
+    _put(server_directory, objects, "servers/a", _renewal(3))
+    _put(server_directory, objects, "servers/a", None)
+    _put(server_directory, objects, "servers/a", _renewal(4))
+    assert _ids(server_directory) == {"a"}
+    _put(server_directory, objects, "servers/a", None)
+    _put(server_directory, objects, "servers/a", _renewal(1, started_ms=6))
+    assert _ids(server_directory) == {"a"}
+
+
+def test_renewals_without_a_known_start_are_not_compared(server_directory, objects):
+    """Guards against a restarted server that is ignored, because its numbers start again."""
+    _put(server_directory, objects, "servers/a", _renewal(9, started_ms=0))
+    _put(server_directory, objects, "servers/a", _renewal(1, started_ms=0, draining=True))
+    assert not _ids(server_directory)
