Log from where each update of the published values came

Cause: the logs of the lost removal do not show from whom a node learned of which revision. Change: store_sync writes values_updated with source, revisions and removed keys.

--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -362,7 +362,11 @@
             self._log.write("values_rejected", peer=ip, error=str(error))
             return
         self._sync.apply_peer_records(
-            records, response.revision, response.age_s, is_snapshot=response.is_snapshot
+            records,
+            response.revision,
+            response.age_s,
+            is_snapshot=response.is_snapshot,
+            peer=ip,
         )
 
     # messages between nodes
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -58,6 +58,12 @@
 """Seconds without the store after which entries may have expired. They expire after three missed
 renewals of 1.5 s, so an entry that is missing after a shorter outage was removed."""
 
+_STORE_SOURCE = "store"
+"""Source in the log of values that this node has read itself."""
+
+_MAX_LOGGED_KEYS = 8
+"""Removed keys that one line of the log names."""
+
 
 class StoreSync:
     """Reads the store if this node is the reader, or if it gets no updates from peers.
@@ -147,7 +153,13 @@
         return True
 
     def apply_peer_records(
-        self, records: Sequence[record.Record], revision: int, age_s: float, *, is_snapshot: bool
+        self,
+        records: Sequence[record.Record],
+        revision: int,
+        age_s: float,
+        *,
+        is_snapshot: bool,
+        peer: str = "",
     ) -> None:
         """Applies records that a peer sent.
 
@@ -156,18 +168,43 @@
             revision: revision up to which they complete the values.
             age_s: seconds since the peer knew that its values were current.
             is_snapshot: whether the records are all that the peer has.
+            peer: IP address of the peer.
         """
         if revision < self.revision:
             return
         self.pull_count += 1
         after_outage = self.age_s() > _MIN_OUTAGE_S
+        applied = self._apply(records, revision, source=peer, is_snapshot=is_snapshot)
+        self._mark_current(clock.now() - age_s)
+        if applied:
+            self._on_records(applied, after_outage)
+
+    def _apply(
+        self,
+        records: Sequence[record.Record],
+        revision: int,
+        *,
+        source: str,
+        is_snapshot: bool,
+    ) -> list[record.Record]:
+        """Applies records, logs the step, and returns those that were new to this node."""
+        previous = self.revision
         if is_snapshot:
             applied = self._records.apply_snapshot(records, revision)
         else:
             applied = self._records.apply_changes(records, revision)
-        self._mark_current(clock.now() - age_s)
-        if applied:
-            self._on_records(applied, after_outage)
+        if applied or is_snapshot:
+            removed = [each.key for each in applied if each.value is None]
+            self._log.write(
+                "values_updated",
+                source=source,
+                previous=previous,
+                revision=revision,
+                snapshot=is_snapshot,
+                records=len(applied),
+                removed=removed[:_MAX_LOGGED_KEYS],
+            )
+        return applied
 
     async def _read(self) -> None:
         self.read_count += 1
@@ -176,7 +213,7 @@
         if not self.revision or self._history_lost:
             changes = await self._source.read_all()
             self._history_lost = False
-            applied = self._records.apply_snapshot(changes.records, changes.revision)
+            is_snapshot = True
         else:
             wait_s = _WATCH_TIMEOUT_S if self._is_reader() else 0.0
             try:
@@ -186,7 +223,10 @@
                 self._log.write("store_history_lost", revision=self.revision)
                 return
             current_as_of_s = max(current_as_of_s, clock.now() - 0.05)
-            applied = self._records.apply_changes(changes.records, changes.revision)
+            is_snapshot = False
+        applied = self._apply(
+            changes.records, changes.revision, source=_STORE_SOURCE, is_snapshot=is_snapshot
+        )
         if self._failure_count:
             self._log.write("store_regained", failures=self._failure_count, revision=self.revision)
         self._failure_count = 0
