--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -170,11 +170,14 @@
         incarnation: random number of this start of the sender.
         revision: revision up to which the sender's values are complete.
         age_s: seconds since the sender last knew that its values were current.
+        history_revision: revision since which the sender knows all changes; receivers at an older
+            one would get a snapshot.
     """
 
     incarnation: int
     revision: int
     age_s: float
+    history_revision: int = 0
 
 
 class LoadUpdate(msgspec.Struct, array_like=True, frozen=True, tag=11):
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -382,7 +382,7 @@
         if self._incarnation_by_ip.get(ip) != frame.incarnation:
             self._incarnation_by_ip[ip] = frame.incarnation
             self._services.unblock(ip)
-        if self._sync.observe_peer_revision(frame.revision, frame.age_s):
+        if self._sync.observe_peer_revision(frame.revision, frame.age_s, frame.history_revision):
             if self._sync.should_pull(frame.revision):
                 self._peers.get(ip).pull(self._sync.revision)
         elif spread.should_reply(
@@ -401,7 +401,12 @@
         self._services.block(ip, _SUSPECT_BLOCK_S)
 
     def _digest(self) -> frames.Digest:
-        return frames.Digest(self._incarnation, self._sync.revision, min(self._sync.age_s(), 1e6))
+        return frames.Digest(
+            self._incarnation,
+            self._sync.revision,
+            min(self._sync.age_s(), 1e6),
+            self._sync.history_revision,
+        )
 
     def _gossip_digest(self, count: int) -> None:
         digest = self._digest()
--- a/packages/mesh/src/laburnumford_mesh/record_set.py
+++ b/packages/mesh/src/laburnumford_mesh/record_set.py
@@ -15,6 +15,7 @@
 
     Attributes:
         revision: revision up to which the set is complete.
+        history_revision: revision since which the set knows all changes, removals included.
     """
 
     def __init__(self) -> None:
@@ -22,9 +23,8 @@
         self._removal_by_key: collections.OrderedDict[str, record.Record] = (
             collections.OrderedDict()
         )
-        # The set may lack removals of this revision and of earlier ones.
-        self._compacted_revision = 0
         self.revision = 0
+        self.history_revision = 0
 
     def live(self) -> list[record.Record]:
         """Returns the records that have a value."""
@@ -62,13 +62,13 @@
                 applied.append(removal)
         # The snapshot does not list the keys that were removed before it, and the set lacks the
         # removals of those that it never held.
-        self._compacted_revision = max(self._compacted_revision, self.revision)
+        self.history_revision = max(self.history_revision, revision)
         self.revision = max(self.revision, revision)
         return applied
 
     def changes_since(self, revision: int) -> tuple[list[record.Record], bool]:
         """Returns the records that a peer at `revision` lacks, and whether they are a snapshot."""
-        if revision < self._compacted_revision:
+        if revision < self.history_revision:
             return self.live(), True
         changed = [each for each in self._record_by_key.values() if each.revision > revision]
         changed += [each for each in self._removal_by_key.values() if each.revision > revision]
@@ -87,5 +87,5 @@
         self._removal_by_key.move_to_end(change.key)
         if len(self._removal_by_key) > _MAX_REMOVALS:
             _, compacted = self._removal_by_key.popitem(last=False)
-            self._compacted_revision = max(self._compacted_revision, compacted.revision)
+            self.history_revision = max(self.history_revision, compacted.revision)
         return known is not None
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -41,6 +41,11 @@
 """Seconds in which a pull is not repeated for the same revision. Each of the nodes that tell of a
 change would otherwise be asked for it."""
 
+_MIN_SNAPSHOT_AGE_S = 0.6
+"""Seconds; age of its values from which a node pulls a snapshot from a peer that lacks the changes
+since its revision. Before that it waits for a peer that has them: otherwise each node that starts
+would cause snapshots throughout the fleet."""
+
 _AGE_CHECK_INTERVAL_S = 0.1
 """Seconds between two checks of the age of the values."""
 
@@ -111,6 +116,11 @@
         """Revision up to which the values are complete."""
         return self._records.revision
 
+    @property
+    def history_revision(self) -> int:
+        """Revision since which all changes are known, removals included."""
+        return self._records.history_revision
+
     def age_s(self) -> float:
         """Returns the seconds since the values were last known to be current, infinity before that."""
         return (
@@ -135,10 +145,22 @@
             except errors.StoreError as error:
                 await self._back_off(error)
 
-    def observe_peer_revision(self, revision: int, age_s: float) -> bool:
-        """Updates the age from a peer's digest; returns whether the peer has newer values."""
+    def observe_peer_revision(
+        self, revision: int, age_s: float, history_revision: int = 0
+    ) -> bool:
+        """Updates the age from a peer's digest.
+
+        Args:
+            revision: revision up to which the peer's values are complete.
+            age_s: seconds since the peer knew that its values were current.
+            history_revision: revision since which the peer knows all changes.
+
+        Returns:
+            Whether to pull newer values from the peer.
+        """
         if revision > self.revision:
-            return True
+            has_changes = self.revision >= history_revision
+            return has_changes or not self.revision or self.age_s() > _MIN_SNAPSHOT_AGE_S
         if revision == self.revision and self.revision:
             self._mark_current(clock.now() - age_s)
         return False
--- a/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
@@ -19,11 +19,15 @@
         self.sets = [record_set.RecordSet(), record_set.RecordSet()]
         self.highest_revision_by_key: list[dict[str, int]] = [{}, {}]
 
-    @stateful.rule(key=KEYS, removed=strategies.booleans())
-    def write(self, key, removed):
-        """Writes or removes a key of the store."""
-        if removed and key not in self.live_by_key:
-            return
+    @stateful.initialize()
+    def fill(self):
+        """Writes all keys and lets both sets read them."""
+        for key in ("a", "b", "c"):
+            self._append(key, removed=False)
+        for index in range(2):
+            self.read_all(index, restarted=False)
+
+    def _append(self, key, *, removed):
         self.revision += 1
         change = record.Record(key, self.revision, None if removed else b"%d" % self.revision)
         self.changes.append(change)
@@ -32,9 +36,23 @@
         else:
             self.live_by_key[key] = change
 
-    @stateful.rule(index=strategies.integers(0, 1))
-    def read_all(self, index):
-        """Applies a snapshot of the store to a set."""
+    @stateful.rule(key=KEYS)
+    def write(self, key):
+        """Writes a key of the store."""
+        self._append(key, removed=False)
+
+    @stateful.precondition(lambda self: self.live_by_key)
+    @stateful.rule(data=strategies.data())
+    def remove(self, data):
+        """Removes a key of the store."""
+        self._append(data.draw(strategies.sampled_from(sorted(self.live_by_key))), removed=True)
+
+    @stateful.rule(index=strategies.integers(0, 1), restarted=strategies.booleans())
+    def read_all(self, index, restarted):
+        """Applies a snapshot of the store to a set, which is empty after a restart of its node."""
+        if restarted:
+            self.sets[index] = record_set.RecordSet()
+            self.highest_revision_by_key[index] = {}
         self.sets[index].apply_snapshot(list(self.live_by_key.values()), self.revision)
 
     @stateful.rule(index=strategies.integers(0, 1))
@@ -78,3 +96,31 @@
     derandomize=True, deadline=None, max_examples=100, stateful_step_count=30
 )
 test_record_sets = RecordSetMachine.TestCase
+
+
+def test_removal_reaches_peers_of_a_node_that_has_just_read_all_records():
+    """Guards against requests to a removed server: a full read lists no removed keys.
+
+    A node that had just started passed its records on as all changes since the revision of a peer.
+    """
+    peer, started = record_set.RecordSet(), record_set.RecordSet()
+    peer.apply_snapshot([record.Record("servers/a", 2, b"a")], 2)
+    started.apply_snapshot([], 3)
+    records, is_snapshot = started.changes_since(peer.revision)
+    assert is_snapshot
+    peer.apply_snapshot(records, started.revision)
+    assert not peer.live()
+
+
+def test_removal_between_two_full_reads_reaches_peers():
+    """Guards against a removal that is lost because a full read followed an earlier one.
+
+    The key was written and removed between the reads, and only the peer had seen it.
+    """
+    peer, reader = record_set.RecordSet(), record_set.RecordSet()
+    for each in (peer, reader):
+        each.apply_snapshot([], 1)
+    peer.apply_changes([record.Record("servers/a", 2, b"a")], 2)
+    reader.apply_snapshot([], 3)
+    _, is_snapshot = reader.changes_since(peer.revision)
+    assert is_snapshot
--- a/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
@@ -165,3 +165,16 @@
     assert made.should_pull(10)
     await asyncio.sleep(0.2)
     assert made.should_pull(10)
+
+
+async def test_node_that_lacks_history_is_not_pulled_from_while_values_are_fresh(
+    busy_store, start
+):
+    """Guards against snapshots throughout the fleet at each start of a node."""
+    made, _ = start(5)
+    await waiting.until(lambda: made.revision)
+    newer = made.revision + 2
+    assert not made.observe_peer_revision(newer, 0.0, newer)
+    assert made.observe_peer_revision(newer, 0.0, made.revision)
+    busy_store.down = True
+    await waiting.until(lambda: made.observe_peer_revision(newer, 0.0, newer))
