Ignore a full read of the store that a peer's newer values have overtaken

The older list was applied afterwards, and with it keys whose removal the node had never seen. No later update removes such a key.

The state machine of record sets delays reads.

--- a/packages/mesh/src/laburnumford_mesh/record_set.py
+++ b/packages/mesh/src/laburnumford_mesh/record_set.py
@@ -47,11 +47,14 @@
     ) -> list[record.Record]:
         """Applies all records that the store held at `revision`.
 
-        A key that is missing from the snapshot was removed at `revision` or before.
+        A key that is missing from the snapshot was removed at `revision` or before. A snapshot that
+        is older than the set is ignored: it may hold keys whose removal the set does not know.
 
         Returns:
             The records that were new to this set, removals included.
         """
+        if revision < self.revision:
+            return []
         snapshot = list(records)
         keys = {each.key for each in snapshot}
         applied = [each for each in snapshot if self._apply(each)]
--- a/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
@@ -18,6 +18,7 @@
         self.changes = []
         self.sets = [record_set.RecordSet(), record_set.RecordSet()]
         self.highest_revision_by_key: list[dict[str, int]] = [{}, {}]
+        self.started_reads = [([], 0), ([], 0)]
 
     @stateful.initialize()
     def fill(self):
@@ -55,6 +56,18 @@
             self.highest_revision_by_key[index] = {}
         self.sets[index].apply_snapshot(list(self.live_by_key.values()), self.revision)
 
+    @stateful.rule(index=strategies.integers(0, 1))
+    def start_read(self, index):
+        """Starts a full read of the store whose answer arrives later."""
+        self.started_reads[index] = (list(self.live_by_key.values()), self.revision)
+
+    @stateful.rule(index=strategies.integers(0, 1))
+    def finish_read(self, index):
+        """Applies the answer to a read that other updates may have overtaken."""
+        records, revision = self.started_reads[index]
+        if revision:
+            self.sets[index].apply_snapshot(records, revision)
+
     @stateful.rule(index=strategies.integers(0, 1))
     def watch(self, index):
         """Applies the changes that a set lacks to it."""
@@ -124,3 +137,15 @@
     reader.apply_snapshot([], 3)
     _, is_snapshot = reader.changes_since(peer.revision)
     assert is_snapshot
+
+
+def test_overtaken_full_read_brings_no_removed_key_back():
+    """Guards against requests to a removed server of which only an outdated read tells.
+
+    A node that starts may get the values of a peer while it reads the store itself.
+    """
+    started = record_set.RecordSet()
+    started.apply_snapshot([], 3)
+    assert not started.apply_snapshot([record.Record("servers/a", 2, b"a")], 2)
+    assert not started.live()
+    assert started.revision == 3
