Keep the rate limit that a server advertises

Cause: no part of the node read the field.

Change: the node beside a server, which all its requests pass, admits them by a token bucket of the advertised rate. Requests wait for tokens in the queue for slots; those that cannot get one in time are refused at once, with the time to wait. Load reports carry rate and tokens, and the choice of a server counts the wait. After a restart the node takes the limit from requests of nodes that know it. Malformed values are logged, counted and change nothing.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -310,7 +310,7 @@
             {first_view.server_id, *history.excluded_server_ids},
             ongoing.soft_deadline_s - now,
         )
-        if hedge_view is None or not hedge_view.has_free_slot():
+        if hedge_view is None or not hedge_view.has_free_slot(now):
             return None
         service_time_s = _service_time_s(ongoing, state)
         if now + service_time_s > ongoing.deadline_s or not state.retry_budget.take(now):
@@ -365,6 +365,7 @@
             ),
             offer_accepted=False,
             service_time_s=_service_time_s(ongoing, state),
+            rate_limit_per_s=view.rate_limit_per_s,
         )
         if entry is None:
             return self._local.refusal(frame.call_id, "no-server")
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -27,6 +27,10 @@
             0 outside a slowdown.
         baseline: slowness without the slowdown.
         mean_slowdown_s: mean duration of the slowdowns of the server in seconds.
+        limit_known: whether the node has heard the server since its start; otherwise the report
+            says nothing about a limit.
+        rate_limit_per_s: requests per second that the server takes, None without a limit.
+        tokens: requests that may be started at once under this limit, less those that wait.
     """
 
     server_id: str
@@ -39,6 +43,9 @@
     slow_for_s: float
     baseline: float = 1.0
     mean_slowdown_s: float = 0.2
+    limit_known: bool = False
+    rate_limit_per_s: float | None = None
+    tokens: float = 0.0
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=0):
@@ -74,6 +81,8 @@
         offer_accepted: whether the receiver has accepted an offer of this request.
         service_time_s: service time in seconds at normal speed that the sender expects; a receiver
             that has run no such request yet uses it.
+        rate_limit_per_s: latest limit of the server that the sender knows; a receiver that has got
+            no answer of the server since its start uses it.
     """
 
     call_id: int
@@ -90,6 +99,7 @@
     expects_slowdown: bool
     offer_accepted: bool
     service_time_s: float = 0.05
+    rate_limit_per_s: float | None = None
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -12,6 +12,7 @@
     event_log,
     frames,
     load_header,
+    server_notice,
     server_request,
     server_speed,
     wire_names,
@@ -21,6 +22,7 @@
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
+    advertised_limit,
     knee_limit,
     reservations,
     running_means,
@@ -64,6 +66,9 @@
 of a change up to 1.5 s late if gossip or the store fails for a moment, and the shortest published
 time after which the server must get no more requests is 2 s."""
 
+_RATE_LIMIT_REASON = "rate-limited"
+"""The server advertises a rate at which it cannot get the request in time."""
+
 _DEADLINE_GRACE_S = 0.03
 """Allowance for an answer that the server sends at the deadline to arrive."""
 
@@ -85,6 +90,7 @@
         shutting_down: whether the node refuses new requests because it stops.
         run_count: number of requests that the server has answered.
         probe_count: number of probes of the server's speed.
+        malformed_field_count: number of malformed fields in the server's answers.
     """
 
     def __init__(
@@ -128,10 +134,14 @@
         self._server_id_confirmed_s = -math.inf
         self._cold_server_id = ""
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
+        self._advertised_limit = advertised_limit.AdvertisedLimit()
+        self._limit_server_id = ""
+        self._limit_confirmed = False
         self.running = 0
         self.shutting_down = False
         self.run_count = 0
         self.probe_count = 0
+        self.malformed_field_count = 0
 
     @property
     def waiting(self) -> int:
@@ -189,6 +199,9 @@
             speed.slow_for_s,
             speed.baseline,
             speed.mean_slowdown_s,
+            self._limit_confirmed and self._limit_server_id == self.server_id,
+            self._advertised_limit.rate_per_s,
+            self._free_tokens(now),
         )
 
     def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
@@ -265,6 +278,8 @@
             request.server_id
         ):
             raise errors.RefusedError("other-server")
+        if isinstance(request, frames.Request):
+            self._observe_known_limit(request)
         self._default_service_time_s_by_class[request.request_class] = request.service_time_s
         service_time_s = self._expected_service_time_s(request.request_class)
         if started_s + service_time_s > deadline_s:
@@ -283,10 +298,15 @@
         )
         wait_s = self._expected_wait_s(entry, service_time_s)
         reserved = self._reservations.count(started_s)
+        limit_wait_s = self._advertised_limit.wait_s(
+            started_s, self._queue.count_ahead_of(entry, started_s) + reserved
+        )
+        if started_s + limit_wait_s + service_time_s > deadline_s:
+            raise errors.RefusedError(_RATE_LIMIT_REASON, limit_wait_s)
         if not offer_accepted and not self._queue.should_enqueue(
-            entry, started_s, wait_s, reserved
+            entry, started_s, wait_s, reserved, limit_wait_s
         ):
-            raise errors.RefusedError("overloaded", wait_s)
+            raise errors.RefusedError("overloaded", max(wait_s, limit_wait_s))
         return entry
 
     async def _wait_for_slot(
@@ -434,6 +454,8 @@
     ) -> Any:
         value_by_name = dict(answer.fields)
         self._observe_load(value_by_name.get(self._names.load))
+        if answer.status != 421:
+            self._observe_notice(answer, request.server_id, is_health_check=False)
         if answer.status == 421 or self._names.not_run in value_by_name:
             self._observe_server_id(value_by_name.get(self._names.server_id))
             reason = "misdirected" if answer.status == 421 else "server-refused"
@@ -463,6 +485,49 @@
         if changed:
             self._on_load_change()
 
+    def _observe_notice(
+        self, answer: answers.Answer, server_id: str, *, is_health_check: bool
+    ) -> None:
+        """Applies the rate limit in an answer of the server.
+
+        A health check without one says nothing about requests.
+        """
+        notice = server_notice.parse(answer.fields, self._names)
+        for name, value in notice.malformed:
+            self.malformed_field_count += 1
+            self._log.write(
+                "field_malformed",
+                server=server_id,
+                name=name.decode("latin-1"),
+                value=value.decode("latin-1"),
+            )
+        if notice.limit_malformed or (is_health_check and notice.rate_limit_per_s is None):
+            return
+        self._limit_server_id = server_id
+        self._limit_confirmed = True
+        self._apply_rate_limit(notice.rate_limit_per_s)
+
+    def _observe_known_limit(self, request: frames.Request) -> None:
+        """Applies the limit that the sender knows until this node has heard the server itself."""
+        if request.server_id != self._limit_server_id:
+            self._limit_server_id = request.server_id
+            self._limit_confirmed = False
+            self._apply_rate_limit(None)
+        if not self._limit_confirmed and request.rate_limit_per_s is not None:
+            self._apply_rate_limit(request.rate_limit_per_s)
+
+    def _apply_rate_limit(self, rate_per_s: float | None) -> None:
+        if self._advertised_limit.apply(clock.now(), rate_per_s):
+            self._log.write("rate_limit_changed", server=self.server_id, per_s=rate_per_s)
+            self._on_load_change()
+
+    def _free_tokens(self, now: float) -> float:
+        """Returns the tokens that no waiting or expected request will take, 0 without a limit."""
+        if self._advertised_limit.rate_per_s is None:
+            return 0.0
+        claimed = len(self._queue) + self._reservations.count(now)
+        return self._advertised_limit.tokens(now) - claimed
+
     def _set_slots(self, slots: int) -> None:
         if slots != self._concurrency_limit.slots:
             self._concurrency_limit = knee_limit.KneeLimit(slots=slots)
@@ -492,11 +557,13 @@
         if not len(self._queue) or self.running >= self.limit:
             return
         now = clock.now()
+        if not self._advertised_limit.can_admit(now):
+            return
         if self._speed.age_s(now) > _MAX_SPEED_AGE_S and self._start_probe(now):
             return
         deferred: list[work_queue.WaitingRequest] = []
         speed = self._speed.current()
-        while self.running < self.limit:
+        while self.running < self.limit and self._advertised_limit.can_admit(now):
             entry = self._queue.pop_next(now)
             if entry is None:
                 break
@@ -515,6 +582,7 @@
         granted = self._slot_grant_by_id.get(entry.entry_id)
         if granted is not None and not granted.done():
             self.running += 1
+            self._advertised_limit.admit(clock.now())
             granted.set_result(None)
 
     def _start_probe(self, now: float) -> bool:
@@ -541,6 +609,7 @@
                 answer = await connection.send(b"GET", encoded)
             self._observe_server_id(fields.get(answer.fields, self._names.server_id))
             self._observe_load(fields.get(answer.fields, self._names.load))
+            self._observe_notice(answer, self.server_id, is_health_check=True)
         except (TimeoutError, http_errors.HttpError) as error:
             self._log.write("probe_failed", server=self.server_id, error=str(error))
             self._close_connection(connection)
@@ -554,13 +623,21 @@
         now = clock.now()
         for entry in self._queue.shed(now):
             self._refuse_waiting_request(entry, "deadline")
+        if self._advertised_limit.rate_per_s is not None:
+            for entry in self._queue.shed_unreachable(
+                now, lambda ahead: self._advertised_limit.wait_s(now, ahead)
+            ):
+                retry_after_s = self._advertised_limit.wait_s(now, len(self._queue))
+                self._refuse_waiting_request(entry, _RATE_LIMIT_REASON, retry_after_s)
         while (
             self._is_drain_start_window_over(now)
             and (waiting := self._queue.pop_next(now)) is not None
         ):
             self._refuse_waiting_request(waiting, "server-draining")
 
-    def _refuse_waiting_request(self, entry: work_queue.WaitingRequest, reason: str) -> None:
+    def _refuse_waiting_request(
+        self, entry: work_queue.WaitingRequest, reason: str, retry_after_s: float = 0.0
+    ) -> None:
         granted = self._slot_grant_by_id.get(entry.entry_id)
         if granted is not None and not granted.done():
-            granted.set_exception(errors.RefusedError(reason))
+            granted.set_exception(errors.RefusedError(reason, retry_after_s))
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -295,6 +295,7 @@
                 "server_waiting": self._local.waiting,
                 "server_runs_total": self._local.run_count,
                 "server_probes_total": self._local.probe_count,
+                "server_fields_malformed_total": self._local.malformed_field_count,
                 "server_connections_opened_total": self._local.opened_connection_count,
                 "reader": float(self._rank == 0),
             }
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -108,6 +108,9 @@
                 slow_for_s=report.slow_for_s,
                 baseline=report.baseline,
                 mean_slowdown_s=report.mean_slowdown_s,
+                limit_known=report.limit_known,
+                rate_limit_per_s=report.rate_limit_per_s,
+                tokens=report.tokens,
             )
 
     def block(self, ip: str, seconds: float) -> None:
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -32,6 +32,7 @@
     caller_service=b"x-caller",
     retry_after=b"retry-after",
     server_id=b"x-server",
+    rate_limit=b"x-rate-limit",
 )
 SLOTS = 4
 GRACE_S = 3.0
@@ -50,6 +51,7 @@
         raw_answers: bytes sent instead of the usual answer, by request id.
         status: status code of the answers.
         service_time_s: time in seconds that a request takes.
+        extra_fields: header fields of all its answers, each with its line end.
         health_checks: number of received health checks.
         address: ``ip:port`` once started.
     """
@@ -65,6 +67,7 @@
         self.raw_answers = {}
         self.status = 200
         self.service_time_s = 0.0
+        self.extra_fields = ""
         self.health_checks = 0
         self.address = ""
         self._server: Any = None
@@ -94,7 +97,7 @@
         writer.close()
 
     async def _answer(self, start_line, values, reader):
-        load = f"X-Load: {len(self.runs)},0,{SLOTS},{self.slowness}\r\n"
+        load = f"X-Load: {len(self.runs)},0,{SLOTS},{self.slowness}\r\n{self.extra_fields}"
         if start_line.split(" ")[1] == "/health":
             self.health_checks += 1
             return (
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -319,3 +319,79 @@
     assert found.reason == "server-full"
     assert isinstance(await local.run(_request("2")), frames.Answer)
     assert backend.runs == ["2"]
+
+
+def _advertise(backend, rate):
+    backend.extra_fields = f"X-Rate-Limit: {rate}\r\n"
+
+
+async def test_advertised_rate_limit_is_kept(local, backend):
+    """Guards against a server that gets far more requests than the limit it advertises."""
+    _advertise(backend, "2")
+    await local.run(_request("0"))
+    tasks = [asyncio.create_task(local.run(_request(str(i)))) for i in range(1, 12)]
+    results = await asyncio.gather(*tasks)
+    answered = [found for found in results if isinstance(found, frames.Answer)]
+    assert 2 <= len(answered) <= 6
+    assert len(backend.runs) == 1 + len(answered)
+    refused = [found for found in results if isinstance(found, frames.Refusal)]
+    assert {found.reason for found in refused} <= {"overloaded", "rate-limited"}
+    assert min(found.retry_after_s for found in refused) > 0.1
+
+
+async def test_request_that_the_rate_limit_admits_too_late_is_refused_at_once(local, backend):
+    """Guards against holding a request until its deadline that cannot be served."""
+    _advertise(backend, "0.1")
+    await local.run(_request("0"))
+    await local.run(_request("1"))
+    async with asyncio.timeout(0.5):
+        found = await local.run(_request("2", offer_accepted=True))
+    assert found.reason == "rate-limited"
+    assert found.retry_after_s > 5.0
+
+
+async def test_rate_limit_ends_with_an_answer_without_it(local, backend):
+    """Guards against a server that stays limited after it has recovered."""
+    _advertise(backend, "1")
+    await local.run(_request("0"))
+    assert local.report().rate_limit_per_s == 1.0
+    backend.extra_fields = ""
+    await local.run(_request("1"))
+    results = await asyncio.gather(*(local.run(_request(str(i))) for i in range(2, 8)))
+    assert all(isinstance(found, frames.Answer) for found in results)
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "nan", "1e9", "", "7" * 5000])
+async def test_malformed_rate_limit_changes_nothing(local, backend, value):
+    """Guards against a limit from bytes that a server in trouble sends."""
+    _advertise(backend, "3")
+    await local.run(_request("0"))
+    _advertise(backend, value)
+    await local.run(_request("1"))
+    assert local.report().rate_limit_per_s == 3.0
+    assert local.malformed_field_count >= 1
+
+
+async def test_limit_that_a_caller_knows_holds_until_the_first_answer(local, backend):
+    """Guards against a restarted node that lets in what other nodes know to be too much."""
+    first = await local.run(_request("0", rate_limit_per_s=0.5))
+    assert isinstance(first, frames.Answer)
+    assert local.report().rate_limit_per_s is None
+    backend.gate.clear()
+    restarted = asyncio.create_task(local.run(_request("1", server_id="a", rate_limit_per_s=0.5)))
+    await waiting.until(lambda: len(backend.runs) == 2)
+    backend.gate.set()
+    await restarted
+
+
+async def test_restarted_node_admits_at_the_rate_that_callers_know(local, backend):
+    """Guards against a burst on a limited server each time the node beside it restarts."""
+    backend.gate.clear()
+    tasks = [
+        asyncio.create_task(local.run(_request(str(i), rate_limit_per_s=0.5))) for i in range(6)
+    ]
+    await asyncio.sleep(0.2)
+    assert len(backend.runs) <= 1
+    assert not local.report().limit_known
+    backend.gate.set()
+    await asyncio.gather(*tasks)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_record_set.py
@@ -18,7 +18,7 @@
         self.changes = []
         self.sets = [record_set.RecordSet(), record_set.RecordSet()]
         self.highest_revision_by_key: list[dict[str, int]] = [{}, {}]
-        self.started_reads = [([], 0), ([], 0)]
+        self.started_reads: list[tuple[list[record.Record], int]] = [([], 0), ([], 0)]
 
     @stateful.initialize()
     def fill(self):
--- a/packages/mesh/src/laburnumford_mesh/wire_names.py
+++ b/packages/mesh/src/laburnumford_mesh/wire_names.py
@@ -17,6 +17,7 @@
         caller_service: service of the VM that sent the request.
         retry_after: seconds after which a refused caller may retry.
         server_id: id of the server in answers to health checks.
+        rate_limit: requests per second that a server in trouble takes.
     """
 
     request_id: bytes
@@ -28,3 +29,4 @@
     caller_service: bytes
     retry_after: bytes
     server_id: bytes
+    rate_limit: bytes
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -2,7 +2,12 @@
 
 import math
 
-from laburnumford_policy.placement import baseline_slowness, slowdown_duration, start_policy
+from laburnumford_policy.placement import (
+    advertised_limit,
+    baseline_slowness,
+    slowdown_duration,
+    start_policy,
+)
 
 _SLOWDOWN_DECAY_SHARE = 0.75
 """Share of the mean duration of slowdowns that is the time constant with which a reported slowdown
@@ -40,6 +45,7 @@
         cold_until_s: time until which the server counts as cold after its start.
         blocked_until_s: time until which the server gets no requests.
         outstanding: number of calls of this node that have not ended.
+        rate_limit_per_s: requests per second that the server takes, None without a limit.
     """
 
     def __init__(
@@ -51,6 +57,9 @@
         self.cold_until_s = 0.0
         self.blocked_until_s = 0.0
         self.outstanding = 0
+        self.rate_limit_per_s: float | None = None
+        self._tokens = 0.0
+        self._tokens_at_s = 0.0
         self._sequence = -1
         self._load = 0
         self._limit = max(slots, 1)
@@ -86,6 +95,9 @@
         slow_for_s: float,
         baseline: float = 1.0,
         mean_slowdown_s: float = slowdown_duration.DEFAULT_S,
+        limit_known: bool = False,
+        rate_limit_per_s: float | None = None,
+        tokens: float = 0.0,
     ) -> None:
         """Applies a load report; a report older than the last one is ignored."""
         if sequence < self._sequence:
@@ -94,6 +106,10 @@
         self._load = running + waiting
         self._limit = max(concurrency_limit, 1)
         self._sent_since_report = 0
+        if limit_known:
+            self.rate_limit_per_s = rate_limit_per_s
+            self._tokens = tokens
+            self._tokens_at_s = now
         at_s = now - slowness_age_s
         if at_s > self._slowness_at_s:
             self._slowness = slowness
@@ -141,9 +157,18 @@
         ahead = max(self._load + self._sent_since_report, self.outstanding) + 1 - self._limit
         rounds = max(ahead, 0) / self._limit
         failing = min(self.failure_share(now), _MAX_FAILURE_SHARE)
-        wait_s = service_time_s * speed.baseline * rounds
+        wait_s = max(service_time_s * speed.baseline * rounds, self._limit_wait_s(now))
         return (self.round_trip_s + completion_s + wait_s) / (1.0 - failing) ** 2
 
+    def _limit_wait_s(self, now: float) -> float:
+        """Returns the expected wait for the rate limit of the server in seconds."""
+        if self.rate_limit_per_s is None:
+            return 0.0
+        wait_s = advertised_limit.wait_s(
+            rate_per_s=self.rate_limit_per_s, tokens=self._tokens, ahead=self._sent_since_report
+        )
+        return max(wait_s - (now - self._tokens_at_s), 0.0)
+
     def _speed(self, now: float) -> start_policy.Speed:
         age_s = max(now - self._slowness_at_s, 0.0)
         weight = math.exp(-age_s / (_SLOWDOWN_DECAY_SHARE * self._mean_slowdown_s))
@@ -157,6 +182,7 @@
             mean_slowdown_s=self._mean_slowdown_s,
         )
 
-    def has_free_slot(self) -> bool:
+    def has_free_slot(self, now: float) -> bool:
         """Returns whether a request sent now would probably start without waiting."""
-        return max(self._load + self._sent_since_report, self.outstanding) < self._limit
+        running = max(self._load + self._sent_since_report, self.outstanding)
+        return running < self._limit and self._limit_wait_s(now) <= 0
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_placement.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_placement.py
@@ -105,7 +105,7 @@
     """Guards against an old datagram that replaces a newer report."""
     _report(chooser.views_by_id["a"], 1.0, sequence=5, running=4, waiting=8)
     _report(chooser.views_by_id["a"], 1.0, sequence=4)
-    assert not chooser.views_by_id["a"].has_free_slot()
+    assert not chooser.views_by_id["a"].has_free_slot(0.0)
 
 
 def test_blocked_and_excluded_servers_are_not_selected(chooser):
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -66,7 +66,12 @@
         return sum(self._sort_key(other, now) <= order for other in self._waiting_by_id.values())
 
     def should_enqueue(
-        self, entry: WaitingRequest, now: float, wait_s: float, reserved: int = 0
+        self,
+        entry: WaitingRequest,
+        now: float,
+        wait_s: float,
+        reserved: int = 0,
+        limit_wait_s: float = 0.0,
     ) -> bool:
         """Returns whether a request should wait here.
 
@@ -78,9 +83,11 @@
             now: current time.
             wait_s: expected time until a slot is free.
             reserved: accepted offers whose requests have not arrived.
+            limit_wait_s: time until the rate limit of the server admits the request, which
+                slowdowns do not prolong.
         """
         service_time_s = self._service_time_s(entry.request_class)
-        end_s = now + _WAIT_MARGIN * wait_s + service_time_s
+        end_s = now + max(_WAIT_MARGIN * wait_s, limit_wait_s) + service_time_s
         if end_s <= entry.late_after_s:
             return True
         late = self._is_late(entry, now)
@@ -110,6 +117,27 @@
             del self._waiting_by_id[entry.entry_id]
         return removed
 
+    def shed_unreachable(self, now: float, wait_s: Callable[[int], float]) -> list[WaitingRequest]:
+        """Removes and returns the requests whose turn comes too late for their deadline.
+
+        Args:
+            now: current time.
+            wait_s: returns the seconds until a request behind a number of other ones may start.
+        """
+        removed: list[WaitingRequest] = []
+        ahead = 0
+        for entry in sorted(
+            self._waiting_by_id.values(), key=lambda entry: self._sort_key(entry, now)
+        ):
+            end_s = now + wait_s(ahead) + self._service_time_s(entry.request_class)
+            if end_s > entry.deadline_s:
+                removed.append(entry)
+            else:
+                ahead += 1
+        for entry in removed:
+            del self._waiting_by_id[entry.entry_id]
+        return removed
+
     def _is_late(self, entry: WaitingRequest, now: float) -> bool:
         return now + self._service_time_s(entry.request_class) > entry.late_after_s
 
