Believe a server that says that it leaves, whatever the store says

Cause: the field was not read; a stale or delayed entry kept the server in use.

Change: the node beside the server drains it from the first such answer or health check. The node of the caller excludes it when the answer comes back, also with errors; entries do not undo that unless they tell of a later start. Malformed values are logged, counted and change nothing.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -16,7 +16,9 @@
     metrics,
     peer,
     peers,
+    server_notice,
     services,
+    wire_names,
 )
 from laburnumford_policy.placement import server_view
 
@@ -124,6 +126,7 @@
         server_address: ``ip:port`` of that server.
         peers: the other nodes.
         services: learned state of the services.
+        names: header field names.
         log: structured log.
         counters: metrics.
     """
@@ -135,6 +138,7 @@
         server_address: str,
         peers: peers.Peers,
         services: services.Services,
+        names: wire_names.WireNames,
         log: event_log.EventLog,
         counters: metrics.Metrics,
     ) -> None:
@@ -142,6 +146,7 @@
         self._server_address = server_address
         self._peers = peers
         self._services = services
+        self._names = names
         self._log = log
         self._metrics = counters
         self._call_ids = itertools.count(1)
@@ -427,6 +432,8 @@
         if result.load.server_id == view.server_id:
             self._services.observe_load(result.load)
         if isinstance(result, frames.Answer):
+            if server_notice.parse(result.fields, self._names).leaving:
+                self._services.exclude_leaving(view)
             view.observe_result(now=now, failed=result.status >= 500)
             if result.status < 300:
                 state.placement.observe_answer(
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -129,6 +129,9 @@
         self._last_probe_s = -math.inf
         self._down_until_s = -math.inf
         self._draining_from_s: float | None = None
+        self._started_ms = 0
+        self._leaving_server_id = ""
+        self._leaving_started_ms = 0
         self._unreachable = False
         self.server_id = ""
         self._server_id_confirmed_s = -math.inf
@@ -158,7 +161,15 @@
         """Largest number of requests that run on the server at a time."""
         return self._concurrency_limit.limit(clock.now())
 
-    def apply(self, *, server_id: str, slots: int, health_path: str, cold: bool = False) -> None:
+    def apply(
+        self,
+        *,
+        server_id: str,
+        slots: int,
+        health_path: str,
+        cold: bool = False,
+        started_ms: int = 0,
+    ) -> None:
         """Applies the entry of the server and the health check path of its service.
 
         Args:
@@ -166,8 +177,13 @@
             slots: number of requests that the server processes at a time.
             health_path: path of the health check, empty if there is none.
             cold: whether the server has just started.
+            started_ms: Unix time of the start of the server in milliseconds, 0 if unknown.
         """
         self._health_path = health_path
+        self._started_ms = started_ms
+        if server_id == self._leaving_server_id and started_ms > self._leaving_started_ms:
+            # The server has left and started again under the same id.
+            self._leaving_server_id = ""
         if cold and server_id != self._cold_server_id:
             self._cold_server_id = server_id
             self._speed.expect_cold()
@@ -177,12 +193,20 @@
         self._start_waiting_requests()
 
     def observe_draining(self, *, draining: bool) -> None:
-        """Records whether the server drains; a missing entry counts as draining."""
-        if not draining:
+        """Records whether the entry says that the server drains; a missing one counts as such.
+
+        An entry does not undo that the server itself has said so.
+        """
+        if not draining and not self._is_leaving():
             self._draining_from_s = None
         elif self._draining_from_s is None:
             self._draining_from_s = clock.now()
-            self._log.write("server_draining", server=self.server_id, waiting=self.waiting)
+            self._log.write(
+                "server_draining",
+                server=self.server_id,
+                waiting=self.waiting,
+                said_by_server=self._is_leaving(),
+            )
 
     def report(self) -> frames.LoadReport:
         """Returns a load report for other nodes."""
@@ -331,6 +355,10 @@
         finally:
             self._slot_grant_by_id.pop(entry.entry_id, None)
 
+    def _is_leaving(self) -> bool:
+        """Returns whether the current server has said that it is about to end."""
+        return bool(self.server_id) and self._leaving_server_id == self.server_id
+
     def _is_drain_start_window_over(self, now: float) -> bool:
         since_s = self._draining_from_s
         return since_s is not None and now - since_s > _DRAIN_START_WINDOW_S
@@ -488,7 +516,7 @@
     def _observe_notice(
         self, answer: answers.Answer, server_id: str, *, is_health_check: bool
     ) -> None:
-        """Applies the rate limit in an answer of the server.
+        """Applies the rate limit in an answer of the server, and whether the server leaves.
 
         A health check without one says nothing about requests.
         """
@@ -501,6 +529,11 @@
                 name=name.decode("latin-1"),
                 value=value.decode("latin-1"),
             )
+        if notice.leaving and server_id != self._leaving_server_id:
+            self._leaving_server_id = server_id
+            self._leaving_started_ms = self._started_ms
+            if self._is_leaving():
+                self.observe_draining(draining=True)
         if notice.limit_malformed or (is_health_check and notice.rate_limit_per_s is None):
             return
         self._limit_server_id = server_id
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -156,6 +156,7 @@
             server_address=own_settings.server_address,
             peers=self._peers,
             services=self._services,
+            names=names,
             log=self._log,
             counters=self._metrics,
         )
@@ -319,8 +320,6 @@
     def _apply_directory(self) -> None:
         entries = self._directory.servers()
         own = self._own_entry(entries)
-        if self._local.server_id:
-            self._local.observe_draining(draining=own is None or own.draining)
         if own is not None:
             current = self._directory.configuration
             paths = {} if current is None else current.health_path_by_service
@@ -329,7 +328,10 @@
                 slots=own.slots,
                 health_path=paths.get(own.service, ""),
                 cold=own.cold_remaining_s > 0,
+                started_ms=own.started_ms,
             )
+        if self._local.server_id:
+            self._local.observe_draining(draining=own is None or own.draining)
         self._peers.apply({entry.ip: entry.zone for entry in entries})
         self._services.apply(self._directory.usable_servers(), node_count=self._peers.count + 1)
         self._rank = self._compute_rank(entries)
--- a/packages/mesh/src/laburnumford_mesh/server_notice.py
+++ b/packages/mesh/src/laburnumford_mesh/server_notice.py
@@ -1,4 +1,4 @@
-"""Parser of the header fields in which a server tells of its trouble."""
+"""Parser of the header fields in which a server tells of its trouble or its end."""
 
 import dataclasses
 import re
@@ -9,6 +9,9 @@
 
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
+_LEAVING = b"1"
+"""The only allowed value of the field; defined by the platform."""
+
 _MAX_REPORTED_BYTES = 64
 """Bytes of a malformed value that are reported."""
 
@@ -20,11 +23,13 @@
     Attributes:
         rate_limit_per_s: requests per second that the server takes, None if it names no limit.
         limit_malformed: whether the server names a limit that cannot be read.
+        leaving: whether the server is about to end.
         malformed: fields with a value that is not allowed, shortened.
     """
 
     rate_limit_per_s: float | None = None
     limit_malformed: bool = False
+    leaving: bool = False
     malformed: tuple[fields.Field, ...] = ()
 
 
@@ -38,14 +43,23 @@
         head: header fields, names in lower case.
         names: header field names.
     """
-    limits = [value for name, value in head if name == names.rate_limit]
-    if not limits:
+    limits: list[bytes] = []
+    leaving: list[bytes] = []
+    for name, value in head:
+        if name == names.rate_limit:
+            limits.append(value)
+        elif name == names.leaving:
+            leaving.append(value)
+    if not limits and not leaving:
         return _NO_NOTICE
     rate_limit_per_s = _parse_rate(limits)
-    if rate_limit_per_s is not None:
-        return ServerNotice(rate_limit_per_s=rate_limit_per_s)
-    shortened = limits[0][:_MAX_REPORTED_BYTES]
-    return ServerNotice(limit_malformed=True, malformed=((names.rate_limit, shortened),))
+    limit_malformed = bool(limits) and rate_limit_per_s is None
+    malformed: list[fields.Field] = []
+    if limit_malformed:
+        malformed.append((names.rate_limit, limits[0][:_MAX_REPORTED_BYTES]))
+    if leaving and leaving != [_LEAVING]:
+        malformed.append((names.leaving, leaving[0][:_MAX_REPORTED_BYTES]))
+    return ServerNotice(rate_limit_per_s, limit_malformed, leaving == [_LEAVING], tuple(malformed))
 
 
 def _parse_rate(values: list[bytes]) -> float | None:
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -1,5 +1,6 @@
 """State that a node learns for each service: server placement and retry budget."""
 
+import collections
 import random
 from collections.abc import Iterable
 
@@ -12,6 +13,9 @@
 _SAME_ZONE_ROUND_TRIP_S = 0.0003
 """Network round trip within an availability zone."""
 
+_MAX_LEAVING_SERVERS = 4096
+"""Servers that have said that they leave, which are remembered."""
+
 
 class ServiceState:
     """Holds the server placement and the retry budget of one service.
@@ -56,6 +60,10 @@
         self._view_by_server_id: dict[str, server_view.ServerView] = {}
         self.entry_by_server_id: dict[str, server_entry.ServerEntry] = {}
         self._node_count = 1
+        self._entries: list[server_entry.ServerEntry] = []
+        self._leaving_started_ms_by_id: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
 
     def state(self, service: str) -> ServiceState:
         """Returns the state of a service, created at the first use."""
@@ -75,18 +83,42 @@
 
     def apply(self, entries: Iterable[server_entry.ServerEntry], node_count: int) -> None:
         """Replaces the servers that may receive requests, and the number of nodes."""
+        self._entries = list(entries)
         self._node_count = node_count
+        self._apply_entries()
+
+    def exclude_leaving(self, view: server_view.ServerView) -> None:
+        """Excludes a server that has said that it leaves from new requests.
+
+        Entries do not undo this, because they may be older than the answer; one with a later start
+        of a server with the same id does.
+        """
+        known_ms = self._leaving_started_ms_by_id.get(view.server_id)
+        if known_ms is not None and view.started_ms <= known_ms:
+            return
+        self._leaving_started_ms_by_id[view.server_id] = view.started_ms
+        if len(self._leaving_started_ms_by_id) > _MAX_LEAVING_SERVERS:
+            self._leaving_started_ms_by_id.popitem(last=False)
+        self._apply_entries()
+
+    def _is_leaving(self, entry: server_entry.ServerEntry) -> bool:
+        started_ms = self._leaving_started_ms_by_id.get(entry.server_id)
+        return started_ms is not None and entry.started_ms <= started_ms
+
+    def _apply_entries(self) -> None:
         by_service: dict[str, list[server_view.ServerView]] = {
             service: [] for service in self._state_by_service
         }
         self.entry_by_server_id = {}
-        for entry in entries:
+        for entry in self._entries:
+            if self._is_leaving(entry):
+                continue
             self.entry_by_server_id[entry.server_id] = entry
             by_service.setdefault(entry.service, []).append(self._view(entry))
         for service, views in by_service.items():
             state = self.state(service)
             state.placement.apply(views)
-            state.retry_budget.set_node_count(node_count)
+            state.retry_budget.set_node_count(self._node_count)
         self._view_by_server_id = {
             view.server_id: view
             for state in self._state_by_service.values()
@@ -135,6 +167,7 @@
     def _view(self, entry: server_entry.ServerEntry) -> server_view.ServerView:
         known = self._view_by_server_id.get(entry.server_id)
         if known is not None:
+            known.started_ms = entry.started_ms
             return known
         round_trip_s = _CROSS_ZONE_ROUND_TRIP_S
         if entry.address == self._server_address:
@@ -147,5 +180,6 @@
             other_zone=entry.zone != self._zone,
             slots=entry.slots,
         )
+        view.started_ms = entry.started_ms
         view.cold_until_s = clock.now() + entry.cold_remaining_s
         return view
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -33,6 +33,7 @@
     retry_after=b"retry-after",
     server_id=b"x-server",
     rate_limit=b"x-rate-limit",
+    leaving=b"x-leaving",
 )
 SLOTS = 4
 GRACE_S = 3.0
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -154,6 +154,7 @@
         server_address="127.0.0.1:1",
         peers=scripted,
         services=learned,
+        names=conftest.NAMES,
         log=log,
         counters=metrics.Metrics(),
     )
@@ -298,3 +299,22 @@
     with pytest.raises(errors.RefusedError, match="deadline"):
         await two_server_dispatcher.dispatch(_call(remaining_s=0.3))
     assert len(scripted.requests) == sent
+
+
+@pytest.mark.parametrize("status", [200, 503])
+async def test_server_that_says_that_it_leaves_gets_no_further_request(
+    two_server_dispatcher, scripted, status
+):
+    """Guards against requests to a server that has said so in an answer, also in an error."""
+
+    def leaving(request):
+        return frames.Answer(
+            request.call_id, status, b"", [(b"x-leaving", b"1")], b"", 0.01, _report(request)
+        )
+
+    scripted.results = [(0.0, leaving), (0.0, _answer(200))]
+    await two_server_dispatcher.dispatch(_call(max_attempts=1))
+    for _ in range(10):
+        await two_server_dispatcher.dispatch(_call(max_attempts=1))
+    left = scripted.requests[0].server_id
+    assert left not in {request.server_id for request in scripted.requests[1:]}
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -395,3 +395,27 @@
     assert not local.report().limit_known
     backend.gate.set()
     await asyncio.gather(*tasks)
+
+
+async def test_server_that_says_that_it_leaves_is_drained_whatever_its_entry_says(local, backend):
+    """Guards against requests to a leaving server while the store still lists it as ready."""
+    backend.extra_fields = "X-Leaving: 1\r\n"
+    await local.run(_request("0"))
+    local.observe_draining(draining=False)
+    await asyncio.sleep(0.5)
+    assert (await local.run(_request("1"))).reason == "server-draining"
+    local.apply(
+        server_id="a", slots=conftest.SLOTS, health_path="/health", cold=False, started_ms=2
+    )
+    local.observe_draining(draining=False)
+    backend.extra_fields = ""
+    assert isinstance(await local.run(_request("2")), frames.Answer)
+
+
+async def test_malformed_leaving_changes_nothing(local, backend):
+    """Guards against a server that gets no requests because of bytes that mean nothing."""
+    backend.extra_fields = "X-Leaving: yes\r\n"
+    await local.run(_request("0"))
+    await asyncio.sleep(0.5)
+    assert isinstance(await local.run(_request("1")), frames.Answer)
+    assert local.malformed_field_count >= 1
--- a/packages/mesh/src/laburnumford_mesh/tests/test_server_notice.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_server_notice.py
@@ -38,3 +38,14 @@
     found = _parse()
     assert found.rate_limit_per_s is None
     assert not found.limit_malformed
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving"),
+    [([b"1"], True), ([b"0"], False), ([b""], False), ([b"true"], False), ([b"1", b"1"], False)],
+)
+def test_only_the_allowed_value_says_that_the_server_leaves(values, leaving):
+    """Guards against taking a server in trouble for one that leaves."""
+    found = server_notice.parse([(b"x-leaving", value) for value in values], conftest.NAMES)
+    assert found.leaving is leaving
+    assert bool(found.malformed) is not leaving
--- a/packages/mesh/src/laburnumford_mesh/wire_names.py
+++ b/packages/mesh/src/laburnumford_mesh/wire_names.py
@@ -18,6 +18,7 @@
         retry_after: seconds after which a refused caller may retry.
         server_id: id of the server in answers to health checks.
         rate_limit: requests per second that a server in trouble takes.
+        leaving: says in answers of a server that it is about to end.
     """
 
     request_id: bytes
@@ -30,3 +31,4 @@
     retry_after: bytes
     server_id: bytes
     rate_limit: bytes
+    leaving: bytes
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -45,6 +45,7 @@
         cold_until_s: time until which the server counts as cold after its start.
         blocked_until_s: time until which the server gets no requests.
         outstanding: number of calls of this node that have not ended.
+        started_ms: Unix time of the start of the server in milliseconds, 0 if unknown.
         rate_limit_per_s: requests per second that the server takes, None without a limit.
     """
 
@@ -57,6 +58,7 @@
         self.cold_until_s = 0.0
         self.blocked_until_s = 0.0
         self.outstanding = 0
+        self.started_ms = 0
         self.rate_limit_per_s: float | None = None
         self._tokens = 0.0
         self._tokens_at_s = 0.0
