--- /dev/null
+++ b/review/standin/case.py
@@ -0,0 +1,67 @@
+"""Common parts of the cases: routes, the end of a run and its exit status."""
+
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+import traceback
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from standin import record
+
+HOST = "labs.example"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption happens."""
+
+_MAX_S = 115.0
+
+Play = Callable[[record.Record, pathlib.Path], Awaitable[bool]]
+"""Plays a case and returns whether the rule was broken."""
+
+
+def route(
+    prefix: str, kind: str, service: str, timeout_s: float = 1.5, target_s: float = 0.5
+) -> dict[str, Any]:
+    """Returns a route of the configuration."""
+    return {
+        "host": HOST,
+        "name": f"r-{prefix.strip('/')}",
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutS": timeout_s,
+        "targetLatencyS": target_s,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+
+
+def main(play: Play, folder: pathlib.Path) -> None:
+    """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+    Args:
+        play: plays the case.
+        folder: folder of the case, which gets the record.
+    """
+    log = record.Record(folder / "record.txt")
+    status = 2
+    try:
+        with tempfile.TemporaryDirectory() as settings_folder:
+            status = int(asyncio.run(_limited(play, log, pathlib.Path(settings_folder))))
+    except Exception:
+        traceback.print_exc()
+    log.close()
+    sys.exit(status)
+
+
+async def _limited(play: Play, log: record.Record, folder: pathlib.Path) -> bool:
+    async with asyncio.timeout(_MAX_S):
+        return await play(log, folder)
+
+
+def report(log: record.Record, **values: Any) -> None:
+    """Writes a result into the record and to standard output."""
+    log.write("result", **values)
+    print(", ".join(f"{name}: {value}" for name, value in values.items()))  # noqa: T201
