--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -36,7 +36,9 @@
     "recoveryS=15",
     "probesPerS=60",
 )
-_OUTBOUND_PORT = 8304
+OUTBOUND_PORT = 8304
+"""Port of the nodes for callers."""
+
 _READY_PORT = 8302
 _BACKEND_PORT = 8301
 _INNER_PORT = 7620
@@ -81,7 +83,7 @@
         self.ip = ip
         self.place = place
         self.server: backend.Backend | None = None
-        self.callers = caller.Callers(name=name, address=f"{ip}:{_OUTBOUND_PORT}", log=log)
+        self.callers = caller.Callers(name=name, address=f"{ip}:{OUTBOUND_PORT}", log=log)
         self.gate = asyncio.Event()
         self.process: subprocess.Popen[bytes] | None = None
         self.restarts = True
@@ -249,7 +251,7 @@
             "zones": dict.fromkeys(zones, "region"),
             "listen": {
                 "inbound": f"{machine.ip}:8300",
-                "outbound": f"{machine.ip}:{_OUTBOUND_PORT}",
+                "outbound": f"{machine.ip}:{OUTBOUND_PORT}",
                 "ready": f"{machine.ip}:{_READY_PORT}",
             },
             "innerPorts": [_INNER_PORT, _INNER_PORT + 15],
@@ -357,7 +359,7 @@
     """Returns three bytes of loopback addresses on which the ports of the deployment are free."""
     for _ in range(50):
         prefix = f"127.{random.randint(20, 219)}.{random.randint(0, 249)}"
-        ports = (_OUTBOUND_PORT, _READY_PORT, _BACKEND_PORT, _INNER_PORT, _METRICS_PORT)
+        ports = (OUTBOUND_PORT, _READY_PORT, _BACKEND_PORT, _INNER_PORT, _METRICS_PORT)
         try:
             for port in ports:
                 with socket.socket() as probe:
