--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 import pathlib
+import resource
+import signal
 import sys
 import tempfile
 import traceback
@@ -45,6 +47,8 @@
         play: plays the case.
         folder: folder of the case, which gets the record.
     """
+    # A script that is asked to stop ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     log = record.Record(folder / "record.txt")
     status = 2
     try:
@@ -61,6 +65,17 @@
         return await play(log, folder)
 
 
+def require_descriptors(count: int) -> None:
+    """Raises the limit on open files to a number, also for the nodes that are started later.
+
+    Raises:
+        ValueError: the limit cannot be raised to that number.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < count:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def report(log: record.Record, **values: Any) -> None:
     """Writes a result into the record and to standard output."""
     log.write("result", **values)
