--- a/review/1/case.py
+++ b/review/1/case.py
@@ -83,4 +83,4 @@
     return old > 0
 
 
-case.main(play, FOLDER)
+case.main(play, FOLDER / "record.txt")
--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -40,16 +40,16 @@
     }
 
 
-def main(play: Play, folder: pathlib.Path) -> None:
+def main(play: Play, record_path: pathlib.Path) -> None:
     """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
     Args:
         play: plays the case.
-        folder: folder of the case, which gets the record.
+        record_path: file for the record.
     """
     # A script that is asked to stop ends the processes that it started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    log = record.Record(folder / "record.txt")
+    log = record.Record(record_path)
     status = 2
     try:
         with tempfile.TemporaryDirectory() as settings_folder:
