--- a/packages/mesh/src/laburnumford_mesh/directory.py
+++ b/packages/mesh/src/laburnumford_mesh/directory.py
@@ -69,7 +69,7 @@
             if each.value is None:
                 changed |= self._remove(each.key, after_outage)
                 continue
-            decoded = self._decode(each)
+            decoded = self._decode_or_log(each)
             if isinstance(decoded, server_entry.ServerEntry):
                 changed |= self._register(each.key, decoded)
             elif isinstance(decoded, configuration.Configuration):
@@ -91,6 +91,14 @@
         if expired:
             self._on_change()
 
+    def _decode_or_log(self, each: record.Record) -> Decoded:
+        """Decodes a record; one that the decoder fails on must not cost the records behind it."""
+        try:
+            return self._decode(each)
+        except Exception as error:
+            self._log.write_failure("record_failed", error, key=each.key, revision=each.revision)
+            return None
+
     def _register(self, key: str, entry: server_entry.ServerEntry) -> bool:
         if self._is_outdated(key, entry):
             self._log.write("entry_outdated", server=entry.server_id, sequence=entry.sequence)
--- a/packages/mesh/src/laburnumford_mesh/event_log.py
+++ b/packages/mesh/src/laburnumford_mesh/event_log.py
@@ -3,11 +3,12 @@
 import contextlib
 import os
 import time
+import traceback
 from typing import Any
 
 import msgspec
 
-from laburnumford_mesh import clock
+from laburnumford_mesh import clock, excerpt
 
 _MAX_BURST_LINES = 400
 """Capacity of the token bucket; four seconds of the rate."""
@@ -16,6 +17,9 @@
 """Refill rate of the token bucket. A node answers some tens of requests a second; more lines than
 this take processor time from requests."""
 
+_MAX_TRACEBACK_CHARACTERS = 2000
+"""The end of a traceback is kept, which names the error and the function that raised it."""
+
 
 class EventLog:
     """Writes one JSON line for each event.
@@ -53,7 +57,24 @@
         line = {"time": round(time.time(), 4), "node": self._node, "event": event, **values}
         if self._dropped_count:
             line["dropped_lines"] = self._dropped_count
-        self._emit(self._encoder.encode(line) + b"\n")
+        self._emit(self._encode(line) + b"\n")
+
+    def write_failure(self, event: str, error: BaseException, **values: Any) -> None:
+        """Writes an event with an unexpected error and the end of its traceback."""
+        text = "".join(traceback.format_exception(error))
+        self.write(
+            event,
+            **values,
+            error=excerpt.excerpt(error),
+            traceback=text[-_MAX_TRACEBACK_CHARACTERS:],
+        )
+
+    def _encode(self, line: dict[str, Any]) -> bytes:
+        try:
+            return self._encoder.encode(line)
+        except (msgspec.MsgspecError, TypeError, ValueError, OverflowError, RecursionError):
+            # Values from outside may hold what JSON does not, for example a lone surrogate.
+            return self._encoder.encode({key: excerpt.excerpt(line[key]) for key in line})
 
     def _emit(self, line: bytes) -> None:
         pending = self._unwritten + line
--- a/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
@@ -136,3 +136,28 @@
     _put(server_directory, objects, "servers/a", _renewal(9, started_ms=0))
     _put(server_directory, objects, "servers/a", _renewal(1, started_ms=0, draining=True))
     assert not _ids(server_directory)
+
+
+def test_record_that_the_decoder_fails_on_does_not_affect_others(log, tmp_path):
+    """Guards against losing the records behind one that raises an unexpected error (review/1)."""
+    changes = []
+
+    def decode(found):
+        if found.key == "servers/odd":
+            raise RecursionError("nested")
+        if found.key == "op/config":
+            return conftest.make_configuration(7)
+        return conftest.make_entry(found.key, "1.1.1.1:1")
+
+    server_directory = directory.Directory(
+        decode=decode, log=log, on_change=lambda: changes.append(True)
+    )
+    keys = ["servers/a", "servers/odd", "op/config"]
+    server_directory.apply(
+        [record.Record(key, number, b"x") for number, key in enumerate(keys)], after_outage=False
+    )
+    assert _ids(server_directory) == {"servers/a"}
+    assert server_directory.configuration is not None
+    assert server_directory.configuration.version == 7
+    assert changes == [True]
+    assert "RecursionError" in (tmp_path / "log").read_text(encoding="utf-8")
