Treat a connect to an unusable address as a failed connect

Cause: loop.create_connection raises OverflowError for a port out of range and ValueError or UnicodeError for a host name or port that cannot be used. ServerPool, Peer and the pool of packages/node handled OSError and TimeoutError only; the task of a peer that connects ended, and its call was not refused.

Change: errors.CONNECT_FAILURES names all errors of a connect, and the three places handle them.

--- a/packages/mesh/src/laburnumford_mesh/http/server_pool.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_pool.py
@@ -91,7 +91,7 @@
             raise errors.ConnectionClosedError(
                 f"{self._address} reset the connection before a request was sent"
             ) from error
-        except (OSError, TimeoutError) as error:
+        except errors.CONNECT_FAILURES as error:
             raise errors.ConnectError(f"cannot connect to {self._address}: {error!r}") from error
         self.opened_count += 1
         return connection
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
@@ -83,6 +83,31 @@
     made.close()
 
 
+UNUSABLE_ADDRESSES = {
+    "port 70000": "127.0.0.1:70000",
+    "negative port": "127.0.0.1:-1",
+    "superscript port": "127.0.0.1:\u00b2",
+    "port of 5000 digits": "127.0.0.1:" + "9" * 5000,
+    "empty labels": "..:80",
+    "long label": "x" * 300 + ":80",
+    "NUL": "a\x00b:80",
+}
+
+
+@pytest.mark.parametrize("address", UNUSABLE_ADDRESSES.values(), ids=UNUSABLE_ADDRESSES)
+async def test_unusable_address_is_a_failed_connect(address):
+    """Guards against an error that the callers of the pool do not handle."""
+    made = server_pool.ServerPool(
+        address=address,
+        id_field=ID_FIELD,
+        connect_timeout_s=1.0,
+        limits=read_limits.ReadLimits(),
+        buffer_bytes=1000,
+    )
+    with pytest.raises(errors.ConnectError):
+        await made.acquire(10.0)
+
+
 def _response(request_id, body=b"ok", *more):
     head = b"\r\n".join(
         [b"HTTP/1.1 200 OK", b"X-Id: " + request_id, b"Content-Length: %d" % len(body), *more]
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from laburnumford_mesh import clock, errors, frames, link
+from laburnumford_node.http import errors as http_errors
 
 _CONNECT_TIMEOUT_S = 0.6
 """Seconds; a VM in another zone answers within 3 ms, and a lost SYN is sent again after 1 s."""
@@ -241,7 +242,7 @@
                     int(port),
                 )
                 await hello_received
-        except (OSError, TimeoutError):
+        except http_errors.CONNECT_FAILURES:
             if connected is not None:
                 connected.abort()
             self.unreachable = True
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -112,6 +112,15 @@
     await sender.close()
 
 
+async def test_call_to_an_unusable_address_is_refused():
+    """Guards against a call that waits for its deadline because the connecting task has ended."""
+    sender = Sender(70000)
+    async with asyncio.timeout(2):
+        with pytest.raises(errors.RefusedError):
+            await sender.call()
+    await sender.close()
+
+
 async def test_call_runs_once_when_its_stream_breaks(receiver):
     """Guards against a non-idempotent call that runs twice or is lost when its stream is reset."""
     sender = Sender(receiver.port)
--- a/packages/node/src/laburnumford_node/http/errors.py
+++ b/packages/node/src/laburnumford_node/http/errors.py
@@ -2,6 +2,10 @@
 
 from laburnumford_objects import errors
 
+CONNECT_FAILURES = (OSError, TimeoutError, ValueError, OverflowError)
+"""Errors of `asyncio.loop.create_connection` and of splitting ``ip:port``. A port out of range raises
+OverflowError; a port that is no number, or a host name that cannot be encoded, ValueError."""
+
 
 class HttpError(errors.LaburnumfordError):
     """Base class of the errors of the HTTP layer."""
--- a/packages/node/src/laburnumford_node/http/pool.py
+++ b/packages/node/src/laburnumford_node/http/pool.py
@@ -105,7 +105,7 @@
                 _, connection = await loop.create_connection(self._create, host, int(port))
                 if self._on_connect is not None:
                     await self._on_connect(connection)
-        except (OSError, TimeoutError, errors.HttpError) as error:
+        except (*errors.CONNECT_FAILURES, errors.HttpError) as error:
             if connection is not None:
                 connection.close()
             raise errors.ConnectError(f"cannot connect to {address}: {error!r}") from error
--- a/packages/node/src/laburnumford_node/http/tests/test_client_connection.py
+++ b/packages/node/src/laburnumford_node/http/tests/test_client_connection.py
@@ -132,3 +132,10 @@
     """Guards against reporting that an unreachable server may have run the request."""
     with pytest.raises(errors.ConnectError):
         await connections.acquire("127.0.0.1:1")
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:70000", "127.0.0.1:\u00b2", "..:80", "a\x00b:80"])
+async def test_unusable_address_is_a_failed_connect(connections, address):
+    """Guards against an error that the callers of the pool do not handle."""
+    with pytest.raises(errors.ConnectError):
+        await connections.acquire(address)
