Keep the parts of a node running after an unexpected error, and log it

The users' logs show "Fatal error: protocol.data_received() call failed." on nearly every node, and nothing at all for the reading of the store, which had ended.

Cause: the loops of a node are tasks that nobody awaits until the stop, so any error ended them in silence; the error of one frame closed the stream of a peer, which was opened again and got the same frame again; a call of another node that raised an error was not answered; a deeply nested element beyond the known ones of a message raised RecursionError in the decoder of frames.

--- a/packages/mesh/src/laburnumford_mesh/errors.py
+++ b/packages/mesh/src/laburnumford_mesh/errors.py
@@ -16,7 +16,7 @@
 
 
 class DecodeError(MeshError):
-    """A published value or setting is invalid; names the field, the value and what is allowed."""
+    """A published value, setting or message is invalid; names what was found and what is allowed."""
 
 
 class SettingsError(MeshError):
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from laburnumford_mesh import record
+from laburnumford_mesh import errors, record
 
 LENGTH_PREFIX = struct.Struct("!I")
 MAX_FRAME_BYTES = 72 * 1024 * 1024
@@ -264,15 +264,24 @@
     """Returns the frame that was encoded without a length prefix.
 
     Raises:
-        msgspec.MsgspecError: the bytes are not a valid frame.
+        DecodeError: the bytes are not a valid frame.
     """
-    return _DECODER.decode(data)
+    return _decode(_DECODER, data)
 
 
 def decode_records(data: bytes) -> list[record.Record]:
     """Returns an encoded list of records.
 
     Raises:
-        msgspec.MsgspecError: the bytes are not a valid list of records.
+        DecodeError: the bytes are not a valid list of records.
     """
-    return _RECORDS_DECODER.decode(data)
+    found: list[record.Record] = _decode(_RECORDS_DECODER, data)
+    return found
+
+
+def _decode(decoder: msgspec.msgpack.Decoder[Any], data: bytes | memoryview) -> Any:
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        # Elements behind the known ones are skipped recursively; strings may be no UTF-8.
+        raise errors.DecodeError(f"invalid message: {error}") from error
--- a/packages/mesh/src/laburnumford_mesh/gossip.py
+++ b/packages/mesh/src/laburnumford_mesh/gossip.py
@@ -1,12 +1,13 @@
 """Datagrams between nodes: load updates and digests of the published values."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any, cast
 
-import msgspec
+from laburnumford_mesh import errors, frames
 
-from laburnumford_mesh import frames
+_LOG = logging.getLogger("laburnumford.mesh")
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -33,13 +34,17 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        """Decodes a frame and passes it on; counts and drops an invalid one."""
+        """Decodes a frame and passes it on; counts, logs and drops an invalid one."""
         try:
             frame = frames.decode(data)
-        except msgspec.MsgspecError:
+        except errors.DecodeError as error:
             self.invalid_datagram_count += 1
+            _LOG.warning("datagram from %s: %s", addr[0], error)
             return
-        self._on_frame(str(addr[0]), frame)
+        try:
+            self._on_frame(str(addr[0]), frame)
+        except Exception:
+            _LOG.exception("datagram from %s: cannot handle %s", addr[0], type(frame).__name__)
 
     def send(self, address: tuple[str, int], frame: Any) -> None:
         """Sends a frame, or does nothing if the socket is closed."""
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 
-from laburnumford_mesh import clock
+from laburnumford_mesh import clock, supervision
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import buffer_budget, edge_connection
 
@@ -76,7 +76,9 @@
         self._server = await loop.create_server(
             self._accept, sock=listening, backlog=_MAX_PENDING_CONNECTIONS
         )
-        self._sweeper = loop.create_task(self._sweep())
+        self._sweeper = loop.create_task(
+            supervision.keep_running(self._sweep, name=f"sweep of {self._address}")
+        )
 
     def begin_drain(self) -> None:
         """Makes each connection close as soon as its received requests are answered."""
--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -1,12 +1,13 @@
 """Stream of frames to or from another node."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any, cast
 
-import msgspec
+from laburnumford_mesh import clock, errors, frames
 
-from laburnumford_mesh import clock, frames
+_LOG = logging.getLogger("laburnumford.mesh")
 
 _ASSUMED_BYTES_PER_S = 250_000.0
 """Bandwidth that a stream is assumed to get. The slowest network link of a VM has 5 Mbit/s, and the
@@ -77,14 +78,23 @@
             start = end
             try:
                 frame = frames.decode(encoded)
-            except msgspec.MsgspecError:
+            except errors.DecodeError as error:
+                _LOG.warning("link to %s: %s; it is closed", self.peer_ip, error)
                 self.abort()
                 return
             self._max_frame_bytes = frames.MAX_FRAME_BYTES
-            self._on_frame(self, frame)
+            self._handle(frame)
         if start:
             del buffer[:start]
 
+    def _handle(self, frame: Any) -> None:
+        try:
+            self._on_frame(self, frame)
+        except Exception:
+            # The node would send the same frame again on a new stream, and nothing behind it
+            # would ever arrive.
+            _LOG.exception("link to %s: cannot handle %s", self.peer_ip, type(frame).__name__)
+
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Reports that the stream has closed."""
         self.lost = True
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import hashlib
+import logging
 import random
 import secrets
 import zlib
@@ -30,6 +31,7 @@
     settings,
     store,
     store_sync,
+    supervision,
     wire_names,
 )
 from laburnumford_mesh import limits as limits_module
@@ -37,6 +39,7 @@
 from laburnumford_mesh.http import edge_server, request
 from laburnumford_policy.placement import spread
 
+_LOG = logging.getLogger("laburnumford.mesh")
 _GOSSIP_INTERVAL_S = 0.2
 """Seconds; with a fanout of three, all nodes learn within about 1 s that the store does not answer."""
 
@@ -84,6 +87,9 @@
 _MAX_RECORDS_BYTES = 64 * 1024 * 1024
 """Bytes of the published values that another node sends: 10,000 entries of 500 bytes take 5 MB."""
 
+_NODE_ERROR_REASON = "node-error"
+"""The node failed with an unexpected error, which its log has."""
+
 _COMPRESSION_LEVEL = 6
 """Level of zlib; shrinks configurations, which are JSON, to a tenth."""
 
@@ -95,7 +101,8 @@
         own_settings: settings of this node.
         names: header field names shared with callers and servers.
         source: store with the published values.
-        decoder_factory: returns a decoder of published values that writes to the given log.
+        decode: decoder of published values.
+        log: structured log.
         load_settings: reads the current settings.
     """
 
@@ -105,7 +112,8 @@
         own_settings: settings.MeshSettings,
         names: wire_names.WireNames,
         source: store.Store,
-        decoder_factory: Callable[[event_log.EventLog], directory.Decoder],
+        decode: directory.Decoder,
+        log: event_log.EventLog,
         load_settings: Callable[[], settings.MeshSettings],
     ) -> None:
         self._settings = own_settings
@@ -116,9 +124,9 @@
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = metrics.Metrics()
-        self._log = event_log.EventLog(node=own_settings.node)
+        self._log = log
         self._directory = directory.Directory(
-            decode=decoder_factory(self._log), log=self._log, on_change=self._apply_directory
+            decode=decode, log=self._log, on_change=self._apply_directory
         )
         self._sync = store_sync.StoreSync(
             source=source,
@@ -220,10 +228,13 @@
         await self._edge_server.start()
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._sync.run()),
-            loop.create_task(self._gossip_loop()),
-            loop.create_task(self._sweep()),
-            loop.create_task(self._peers.run()),
+            loop.create_task(supervision.keep_running(run, name=name))
+            for name, run in (
+                ("reading of the store", self._sync.run),
+                ("gossip", self._gossip_loop),
+                ("sweep", self._sweep),
+                ("check of the peers", self._peers.run),
+            )
         ]
         gc.collect()
         gc.freeze()
@@ -309,7 +320,13 @@
         )
 
     async def _run_for_peer(self, frame: frames.Request | frames.Offer) -> Any:
-        return await self._local.run(frame)
+        try:
+            return await self._local.run(frame)
+        except Exception:
+            _LOG.exception("cannot run call %d of another node", frame.call_id)
+        if isinstance(frame, frames.Offer):
+            return self._local.refusal(frame.call_id, _NODE_ERROR_REASON)
+        return frames.UnknownOutcome(frame.call_id, _NODE_ERROR_REASON, self._local.report())
 
     # published values
 
@@ -361,7 +378,7 @@
     def _handle_pull_response(self, ip: str, response: frames.PullResponse) -> None:
         try:
             records = frames.decode_records(_decompress(response.compressed_records))
-        except (zlib.error, msgspec.MsgspecError) as error:
+        except (zlib.error, errors.DecodeError) as error:
             self._log.write("values_rejected", peer=ip, error=str(error))
             return
         self._sync.apply_peer_records(
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -270,9 +270,6 @@
         self._objects[key] = decoded
         self.store.put(key, None if decoded is None else key.encode())
 
-    def _decode(self, _log):
-        return lambda found: self._objects.get(found.key)
-
     @staticmethod
     def ip(index):
         """Returns a loopback address that depends on the process id, to avoid clashes."""
@@ -305,7 +302,8 @@
             own_settings=own,
             names=NAMES,
             source=self.store,
-            decoder_factory=self._decode,
+            decode=lambda found: self._objects.get(found.key),
+            log=event_log.EventLog(node=f"node-{index}"),
             load_settings=lambda: own,
         )
         self.nodes.append(made)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_link.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_link.py
@@ -51,3 +51,37 @@
         while len(received) < 2:
             await asyncio.sleep(0.01)
     assert received[1] == response
+
+
+async def test_frame_that_cannot_be_handled_does_not_close_the_stream(stream, caplog):
+    """Guards against a stream that is closed, and opened again, for each such frame (issue 30).
+
+    Neither the frames behind it nor calls in flight on the stream may suffer from it.
+    """
+    made, received, _, writer = stream
+    frames_handled = received.append
+
+    def handle(_, frame):
+        if isinstance(frame, frames.Pull):
+            raise OverflowError("too large")
+        frames_handled(frame)
+
+    made._on_frame = handle
+    for frame in (frames.Hello(2, False), frames.Pull(1), frames.Ping()):
+        writer.write(frames.encode_for_stream(frame))
+    async with asyncio.timeout(5):
+        while len(received) < 2:
+            await asyncio.sleep(0.01)
+    assert received[1] == frames.Ping()
+    assert not made.lost
+    assert "cannot handle Pull" in caplog.text
+
+
+async def test_undecodable_frame_is_logged(stream, caplog):
+    """Guards against a stream that closes without a log line."""
+    _, _, reader, writer = stream
+    writer.write(frames.LENGTH_PREFIX.pack(3) + b"\xff\xff\xff")
+    async with asyncio.timeout(5):
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+    assert "it is closed" in caplog.text
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -107,6 +107,44 @@
     assert leaving.runs == []
 
 
+async def test_reading_goes_on_after_an_unexpected_error(pair, monkeypatch):
+    """Guards against a node that reads the store no more after one error (review/1, issue 30)."""
+    fleet, addresses = pair
+    watch = fleet.store.watch
+    failures: list[int] = []
+
+    async def fail_sometimes(after, wait_s):
+        if len(failures) < 3:
+            failures.append(after)
+            raise OverflowError("too large")
+        return await watch(after, wait_s)
+
+    monkeypatch.setattr(fleet.store, "watch", fail_sometimes)
+    await waiting.until(lambda: len(failures) == 3, within_s=8.0)
+    fleet.publish("op/config", conftest.make_configuration(2, prefix="/new/"))
+    for ip in addresses:
+        async with asyncio.timeout(2):
+            while (await fleet.request(ip, "GET", "/new/get/1", f"c{ip}"))[0] != 200:
+                await asyncio.sleep(0.02)
+
+
+async def test_call_that_the_node_fails_on_is_answered(pair, monkeypatch):
+    """Guards against a caller that waits for its deadline after an error at another node."""
+    fleet, (ip, _) = pair
+
+    async def fail(_):
+        raise OverflowError("too large")
+
+    monkeypatch.setattr(fleet.nodes[1]._local, "run", fail)
+    draining_entry = conftest.make_entry("server-0", fleet.backends[0].address, draining=True)
+    fleet.publish("servers/0", draining_entry)
+    await waiting.until(
+        lambda: all(made.server_count("s") == 1 for made in fleet.nodes), within_s=8.0
+    )
+    async with asyncio.timeout(0.5):
+        assert (await fleet.request(ip, "GET", "/get/1", "1"))[0] == 502
+
+
 async def test_nodes_serve_while_the_store_is_down(pair):
     """Guards against requests that fail because the store is down."""
     fleet, addresses = pair
