Ignore numbers in header fields that have too many digits

Callers saw 502 and a closed connection for a deadline of 400 digits, and lost the ready answer of a server whose load report held such a number.

Cause: bytes.isdigit says nothing about the size; int raises ValueError for more than 4,300 digits, and dividing an integer that no float holds raises OverflowError, in LocalServer after the request had run.

Change: fields.parse_integer reads 1 to 18 digits or nothing; the deadline of callers, the load report and the time fields between nodes of packages/node use it.

--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -257,6 +257,5 @@
 
 def _parse_timeout_s(value: bytes | None) -> float | None:
     """Returns the timeout of the caller in seconds, or None if the field is missing or invalid."""
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value) / 1000
+    timeout_ms = fields.parse_integer(value)
+    return None if timeout_ms is None else timeout_ms / 1000
--- a/packages/mesh/src/laburnumford_mesh/load_header.py
+++ b/packages/mesh/src/laburnumford_mesh/load_header.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from laburnumford_node.http import fields
+
 _NORMAL_SLOWNESS = 100.0
 """Value in the header field that stands for normal speed; defined by the platform."""
 
@@ -25,11 +27,12 @@
 
 def parse(value: bytes) -> ServerLoad | None:
     """Returns the load report, or None if the value is invalid."""
-    parts = value.split(b",")
-    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts[:4]):
+    parts = [fields.parse_integer(part) for part in value.split(b",")[:4]]
+    numbers = [part for part in parts if part is not None]
+    if len(numbers) < 3 or len(numbers) < len(parts):
         return None
-    running, waiting, slots = (int(part) for part in parts[:3])
-    slowness = int(parts[3]) / _NORMAL_SLOWNESS if len(parts) > 3 else 1.0
+    running, waiting, slots = numbers[:3]
+    slowness = numbers[3] / _NORMAL_SLOWNESS if len(numbers) > 3 else 1.0
     if slots < 1 or slowness <= 0:
         return None
     return ServerLoad(running, waiting, slots, slowness)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -32,6 +32,21 @@
     assert 0 < int(seen["x-timeout"]) <= 700
 
 
+@pytest.mark.parametrize("digits", [400, 5000])
+async def test_huge_numbers_in_header_fields_do_not_cost_the_answer(pair, digits):
+    """Guards against answers that are lost because of a number in a header field (issue 30)."""
+    fleet, (ip, _) = pair
+    huge = "9" * digits
+    for path in ("/get/1", "/post/1"):
+        method = "GET" if path == "/get/1" else "POST"
+        more = f"X-Timeout: {huge}\r\n"
+        assert (await fleet.request(ip, method, path, f"caller-{path}", more=more))[0] == 200
+    for backend in fleet.backends:
+        backend.slowness = huge
+    for index in range(6):
+        assert (await fleet.request(ip, "POST", "/post/1", f"server-{index}"))[0] == 200
+
+
 async def test_unknown_route_gets_404(pair):
     """Guards against an answer other than 404 for a route that does not exist."""
     fleet, (ip, _) = pair
--- a/packages/node/src/laburnumford_node/http/fields.py
+++ b/packages/node/src/laburnumford_node/http/fields.py
@@ -22,6 +22,8 @@
 
 LABURNUMFORD_PREFIX = b"laburnumford-"
 
+_MAX_INTEGER_DIGITS = 18
+
 
 def get(fields: Iterable[Field], name: bytes) -> bytes | None:
     """Returns the value of the first field called `name`, or None."""
@@ -82,3 +84,16 @@
 def encode_last_chunk(trailers: Iterable[Field]) -> bytes:
     """Returns the last chunk and the trailer section."""
     return b"0\r\n" + b"".join([n + b": " + v + b"\r\n" for n, v in trailers]) + b"\r\n"
+
+
+def parse_integer(value: bytes | None) -> int | None:
+    """Returns the number that a field value of 1 to 18 decimal digits holds, otherwise None.
+
+    Python refuses to convert more than 4,300 digits, and a larger integer overflows a float.
+    """
+    if value is None:
+        return None
+    stripped = value.strip()
+    if not stripped.isdigit() or len(stripped) > _MAX_INTEGER_DIGITS:
+        return None
+    return int(stripped)
--- a/packages/node/src/laburnumford_node/peer.py
+++ b/packages/node/src/laburnumford_node/peer.py
@@ -215,9 +215,11 @@
 
 def _milliseconds_field(received: request.Request, name: bytes) -> int:
     value = received.value_by_name.get(name)
-    if value is None or not value.isdigit() or int(value) > _MAX_TIME_FIELD_MS:
+    milliseconds = fields.parse_integer(value)
+    if milliseconds is None or milliseconds > _MAX_TIME_FIELD_MS:
+        found = None if value is None else value[:32]
         raise errors.RefusedError(
             reason.Reason.BAD_REQUEST,
-            f"field {name.decode()}: found {value!r}; allowed: 0 to {_MAX_TIME_FIELD_MS}",
+            f"field {name.decode()}: found {found!r}; allowed: 0 to {_MAX_TIME_FIELD_MS}",
         )
-    return int(value)
+    return milliseconds
