Send no request id twice on one connection to a server

Callers were told "not run" for a request that a server ran, after it had written the refusal of an earlier attempt of the same request once more on the kept connection; a second server may then run it too.

Cause: an answer is matched by the id of its request, which is the same for all attempts. A health check expects no id and took any answer.

Change: ServerPool.acquire skips connections that have sent the id, and a connection is replaced after 1,000 requests; a request without an id gets a connection of its own; an answer with an id is never that of a request without one.

--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -18,6 +18,9 @@
 """Subtracted from the server's timeout: its timer starts when it sends its last byte, before that
 byte is received here."""
 
+_MAX_REQUESTS = 1000
+"""Requests on one connection; bounds the memory for their ids."""
+
 _MAX_MISMATCHED_ANSWERS = 4
 """Answers to other requests in one exchange; with more the exchange fails."""
 
@@ -26,7 +29,8 @@
     """Sends one request at a time and receives complete answers.
 
     An answer with the id of another request is dropped and the exchange continues, because
-    servers may send a second answer to an earlier request. The connection is reusable only
+    servers may send a second answer to an earlier request. The id does not tell two attempts of one
+    request apart, so no id is sent twice on a connection. The connection is reusable only
     after an answer that has its declared length and is followed by no further bytes. An exchange
     in which the server sends more than the limits allow fails, and the connection is closed.
 
@@ -57,6 +61,7 @@
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[answers.Answer] | None = None
         self._expected_id: bytes | None = None
+        self._sent_ids: set[bytes] = set()
         self._method = b""
         self._fields: list[fields.Field] = []
         self._reason = b""
@@ -187,6 +192,7 @@
         return (
             not self._lost
             and not self._not_reusable
+            and self.request_count < _MAX_REQUESTS
             and not self._eof
             and self._transport is not None
             and not self._transport.is_closing()
@@ -204,6 +210,10 @@
         allowed_s = min(max_idle_s, max(self._keep_alive_timeout_s - _KEEP_ALIVE_MARGIN_S, 0.0))
         return now - self.idle_since_s <= allowed_s
 
+    def has_sent(self, request_id: bytes | None) -> bool:
+        """Returns whether a request with an id was sent, whose answer may be repeated."""
+        return request_id in self._sent_ids
+
     async def send(
         self, method: bytes, encoded: bytes, expected_id: bytes | None = None
     ) -> answers.Answer:
@@ -212,7 +222,8 @@
         Args:
             method: request method.
             encoded: header section and body of the request.
-            expected_id: request id that the answer must carry, or None for any answer.
+            expected_id: request id that the answer must carry; None for a request without an id,
+                whose answer must carry none.
 
         Raises:
             ConnectionClosedError: the connection closed before the request was written.
@@ -228,6 +239,8 @@
         self._meter.reset()
         self._waiter = asyncio.get_running_loop().create_future()
         self.request_count += 1
+        if expected_id is not None:
+            self._sent_ids.add(expected_id)
         self._transport.write(encoded)
         return await self._waiter
 
@@ -280,7 +293,7 @@
         self._reserved_bytes = 0
 
     def _is_expected(self) -> bool:
-        if self._expected_id is None or self._id_field is None:
+        if self._id_field is None:
             return True
         return fields.get(self._fields, self._id_field) == self._expected_id
 
--- a/packages/mesh/src/laburnumford_mesh/http/server_pool.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_pool.py
@@ -36,23 +36,30 @@
         self._idle: collections.deque[server_connection.ServerConnection] = collections.deque()
         self.opened_count = 0
 
-    async def acquire(self, max_idle_s: float) -> server_connection.ServerConnection:
+    async def acquire(
+        self, max_idle_s: float, request_id: bytes | None = None
+    ) -> server_connection.ServerConnection:
         """Returns a connection that was idle for at most `max_idle_s` seconds, or opens one.
 
+        Args:
+            max_idle_s: longest idle time in seconds.
+            request_id: id of the request; a connection on which it was sent before is not used.
+
         Raises:
             ConnectionClosedError: the server reset the new connection.
             ConnectError: no connection could be opened.
         """
         now = clock.now()
-        while self._idle:
-            connection = self._idle[-1]
+        for connection in reversed(list(self._idle)):
             if not connection.reusable:
-                self._idle.pop().close()
-                continue
-            if connection.is_fresh(now, max_idle_s):
-                return self._idle.pop()
-            break
-        return await self._open()
+                self._idle.remove(connection)
+                connection.close()
+            elif not connection.is_fresh(now, max_idle_s):
+                break
+            elif not connection.has_sent(request_id):
+                self._idle.remove(connection)
+                return connection
+        return await self.open()
 
     def release(self, connection: server_connection.ServerConnection) -> None:
         """Returns a connection to the pool, or closes it if it cannot be reused."""
@@ -75,7 +82,13 @@
         while self._idle:
             self._idle.popleft().close()
 
-    async def _open(self) -> server_connection.ServerConnection:
+    async def open(self) -> server_connection.ServerConnection:
+        """Returns a new connection.
+
+        Raises:
+            ConnectionClosedError: the server reset the new connection.
+            ConnectError: no connection could be opened.
+        """
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import read_limits, server_pool
+from laburnumford_mesh.http import read_limits, server_connection, server_pool
 from laburnumford_node.http import errors
 
 ID_FIELD = b"x-id"
@@ -116,7 +116,7 @@
 
 
 async def _exchange(pool, request_id=b"1"):
-    connection = await pool.acquire(10.0)
+    connection = await pool.acquire(10.0, request_id)
     try:
         async with asyncio.timeout(5):
             return await connection.send(b"GET", b"GET / HTTP/1.1\r\n\r\n", request_id), connection
@@ -194,3 +194,66 @@
     connection = await pool.acquire(-1.0)
     assert pool.opened_count == 2
     connection.close()
+
+
+def _refusal(*fields_of_refusal):
+    head = [b"HTTP/1.1 429 X", *fields_of_refusal, b"X-Not-Run: 1", b"Content-Length: 0"]
+    return b"\r\n".join(head) + b"\r\n\r\n"
+
+
+async def test_earlier_refusal_is_not_the_answer_to_the_next_attempt(server, pool):
+    """Guards against "not run" for a request that runs (issue 30).
+
+    The id in an answer does not tell two attempts of one request apart. The server sends the refusal
+    of the first attempt once more when the second one arrives.
+    """
+    refusal = _refusal(b"X-Id: q")
+    server.answers = [(refusal, ""), (refusal + _response(b"q"), ""), (_response(b"q"), "")]
+    first, _ = await _exchange(pool, b"q")
+    assert first.status == 429
+    server.answers.pop(0)
+    second, _ = await _exchange(pool, b"q")
+    assert second.status == 200
+    assert server.connections == 2
+
+
+async def test_connection_is_kept_for_requests_with_other_ids(server, pool):
+    """Guards against a new connection after each refusal."""
+    server.answers = [(_refusal(b"X-Id: q"), ""), (_response(b"r"), "")]
+    await _exchange(pool, b"q")
+    found, _ = await _exchange(pool, b"r")
+    assert found.status == 200
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    "refusal", [_refusal(), _refusal(b"X-Id: p")], ids=["without id", "of an earlier request"]
+)
+async def test_refusal_of_another_request_is_dropped(server, pool, refusal):
+    """Guards against a refusal that is taken for the answer to a request that runs."""
+    server.answers = [(_response(b"p"), ""), (refusal + _response(b"q"), "")]
+    await _exchange(pool, b"p")
+    found, _ = await _exchange(pool, b"q")
+    assert found.status == 200
+
+
+async def test_answer_with_an_id_is_not_the_answer_to_a_request_without_one(server, pool):
+    """Guards against a health check that takes the repeated answer to an earlier request."""
+    refusal = _refusal(b"X-Id: p")
+    server.answers = [
+        (refusal, ""),
+        (refusal + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""),
+    ]
+    await _exchange(pool, b"p")
+    found, _ = await _exchange(pool, None)
+    assert found.status == 200
+
+
+async def test_connection_is_replaced_after_many_requests(server, pool, monkeypatch):
+    """Guards against an unbounded number of remembered ids."""
+    monkeypatch.setattr(server_connection, "_MAX_REQUESTS", 3)
+    ids = [b"%d" % number for number in range(4)]
+    server.answers = [(_response(each), "") for each in ids]
+    for each in ids:
+        await _exchange(pool, each)
+    assert server.connections == 2
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -414,8 +414,7 @@
         slowness = self._speed.slowness
         running = self.running
         try:
-            max_idle_s = _UNLIMITED_IDLE_S if request.idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
-            connection = await self._pool.acquire(max_idle_s)
+            connection = await self._acquire_connection(request, request_id)
             sent_s = clock.now()
             remaining_s = deadline_s - sent_s
             if remaining_s <= 0:
@@ -468,6 +467,15 @@
             if connection is not None:
                 self._pool.release(connection)
 
+    async def _acquire_connection(
+        self, request: frames.Request, request_id: bytes | None
+    ) -> server_connection.ServerConnection:
+        if request_id is None:
+            # On a used connection, its answer cannot be told from a late one to another request.
+            return await self._pool.open()
+        max_idle_s = _UNLIMITED_IDLE_S if request.idempotent else _MAX_IDLE_NON_IDEMPOTENT_S
+        return await self._pool.acquire(max_idle_s, request_id)
+
     @staticmethod
     def _close_connection(connection: server_connection.ServerConnection | None) -> None:
         if connection is not None:
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -11,6 +11,7 @@
     configuration,
     errors,
     event_log,
+    frames,
     limits,
     node,
     record,
@@ -36,6 +37,7 @@
     leaving=b"x-leaving",
 )
 SLOTS = 4
+CALL_IDS = iter(range(1, 100_000))
 GRACE_S = 3.0
 
 
@@ -229,6 +231,26 @@
     )
 
 
+def make_request(request_id="1", **changes):
+    """Returns a request for the server with the id a."""
+    values: dict[str, Any] = {
+        "call_id": next(CALL_IDS),
+        "server_id": "a",
+        "method": b"GET",
+        "target": b"/x",
+        "fields": [(b"host", b"h"), (b"x-id", request_id.encode())],
+        "body": b"",
+        "remaining_s": 2.0,
+        "soft_remaining_s": 1.0,
+        "idempotent": True,
+        "priority": 1,
+        "request_class": "k",
+        "expects_slowdown": True,
+        "offer_accepted": False,
+    }
+    return frames.Request(**(values | changes))
+
+
 @pytest.fixture
 def log(tmp_path):
     """Returns a structured log that writes to a file."""
