Close the connection to a server after a refusal in packages/node

Cause: answers of backend servers carry no id there, so a refusal that the server writes once more is taken for the answer to whatever request follows on the kept connection, which then runs twice.

Change: AdjacentServer does not use a connection again after a refusal.

Measured: test_repeated_refusal_is_not_the_answer_to_the_next_request failed before and passes.

--- a/packages/node/src/laburnumford_node/adjacent.py
+++ b/packages/node/src/laburnumford_node/adjacent.py
@@ -208,6 +208,9 @@
         self.last_answer_s = self._clock()
         self.observe_draining(fields.get(answer.fields, header_names.DRAINING) == b"1")
         if _is_refused(answer):
+            # Answers carry no id. A server that sent its refusal once more would make the next
+            # request on this connection look refused while it runs.
+            connection.forbid_reuse()
             await ongoing.end(whole=True)
             raise errors.RefusedError(
                 reason.Reason.OVERLOADED, "the backend server refused the request"
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -136,6 +136,10 @@
             and not self._transport.is_closing()
         )
 
+    def forbid_reuse(self) -> None:
+        """Makes the connection close at the end of the exchange."""
+        self._not_reusable = True
+
     def begin_exchange(self, method: bytes) -> None:
         """Starts an exchange.
 
--- a/packages/node/src/laburnumford_node/tests/test_adjacent.py
+++ b/packages/node/src/laburnumford_node/tests/test_adjacent.py
@@ -17,19 +17,26 @@
 
 
 class Backend:
-    """Answers each request with `answer` after `service_time_s` seconds."""
+    """Answers each request with `answer` after `service_time_s` seconds.
+
+    Attributes:
+        repeats: whether each answer of a connection is sent again before the next one.
+    """
 
     def __init__(self):
         self.answer = _ANSWER
         self.service_time_s = 0.0
+        self.repeats = False
 
     async def serve(self, reader, writer):
         """Serves one connection."""
+        previous = b""
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 await asyncio.sleep(self.service_time_s)
-                writer.write(self.answer)
+                writer.write(previous + self.answer)
+                previous = self.answer if self.repeats else b""
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -116,3 +123,17 @@
     times = server.admission._service_times
     assert times.expected("lookup") < 0.05
     assert times.expected("upload") > 0.08
+
+
+async def test_repeated_refusal_is_not_the_answer_to_the_next_request(backend_and_server):
+    """Guards against "refused" for a request that runs, so that another server runs it too.
+
+    The server sends its refusal once more before the answer to the next request (issue 30).
+    """
+    backend, server = backend_and_server
+    backend.repeats = True
+    backend.answer = _REFUSAL
+    with pytest.raises(errors.RefusedError):
+        await run(server)
+    backend.answer = _ANSWER
+    await run(server)
