--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -52,6 +52,7 @@
         interrupted: ids of the requests whose connection closed while they ran.
         gate: requests are answered only while this is set.
         raw_answers: bytes sent instead of the usual answer, by request id.
+        cut_ids: ids of the requests after whose answer the connection is closed.
         status: status code of the answers.
         service_time_s: time in seconds that a request takes.
         extra_fields: header fields of all its answers, each with its line end.
@@ -68,6 +69,7 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.raw_answers = {}
+        self.cut_ids = set()
         self.status = 200
         self.service_time_s = 0.0
         self.extra_fields = ""
@@ -97,6 +99,8 @@
                 if answer is None:
                     break
                 writer.write(answer)
+                if values.get("x-id") in self.cut_ids:
+                    break
         writer.close()
 
     async def _answer(self, start_line, values, reader):
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -103,6 +103,26 @@
     assert sum(len(backend.runs) for backend in fleet.backends) == 1
 
 
+async def test_answer_that_is_cut_anywhere_is_no_success(pair):
+    """Guards against a success with an empty or short body, on the way over a peer too."""
+    fleet, addresses = pair
+    whole = b"HTTP/1.1 200 OK\r\nX-Id: {}\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nbody"
+
+    async def post(ip, request_id, size):
+        for backend in fleet.backends:
+            backend.raw_answers[request_id] = whole.replace(b"{}", request_id.encode())[:size]
+            backend.cut_ids.add(request_id)
+        return await fleet.request(ip, "POST", "/post/1", request_id)
+
+    for ip in addresses:
+        for size in range(0, len(whole), 3):
+            assert (await post(ip, f"{size:02}", size))[0] == 502
+        status, _, body = await post(ip, "99", len(whole))
+        assert (status, body) == (200, b"body")
+    ran_at = {backend.server_id for backend in fleet.backends if backend.runs}
+    assert len(ran_at) == 2
+
+
 async def test_published_change_reaches_all_nodes(pair):
     """Guards against nodes that keep using an old configuration or a draining server."""
     fleet, addresses = pair
--- a/packages/node/src/laburnumford_node/http/tests/test_client_connection.py
+++ b/packages/node/src/laburnumford_node/http/tests/test_client_connection.py
@@ -139,3 +139,33 @@
     """Guards against an error that the callers of the pool do not handle."""
     with pytest.raises(errors.ConnectError):
         await connections.acquire(address)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nx-t: t\r\n\r\n",
+        b"HTTP/1.1 103 Hints\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+    ],
+    ids=["length", "chunked", "informational"],
+)
+async def test_answer_that_is_cut_anywhere_is_an_error(start_raw_server, connections, answer):
+    """Guards against a success with an empty or short body that is framed as whole (issue 30)."""
+    sizes = iter(range(len(answer) + 1))
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(_OK)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer[: next(sizes)])
+        await writer.drain()
+
+    address = await start_raw_server(script)
+    for size in range(len(answer) + 1):
+        assert (await _get(connections, address))[0] == 200
+        if size == len(answer):
+            assert (await _get(connections, address))[1] == b"body"
+        else:
+            with pytest.raises(errors.HttpError):
+                await _get(connections, address)
