Notice a stream to another node that is reset while it is opened

Cause: a connected socket that the other end has reset has no peer name, and Link took the first element of it; a trial that kills nodes showed the uncaught TypeError. A stream that ended before its hello was not noticed, and calls that were not sent waited the whole 0.6 s for it.

Change: sockets.peer_ip returns an empty address then; the end of a stream before its hello is a failed connect, and its calls are refused at once as not run.

--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from laburnumford_mesh import clock, errors, frames
+from laburnumford_node.http import sockets
 
 _LOG = logging.getLogger("laburnumford.mesh")
 
@@ -55,7 +56,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sends the hello."""
         self._transport = cast(asyncio.Transport, transport)
-        self.peer_ip = str(transport.get_extra_info("peername")[0])
+        self.peer_ip = sockets.peer_ip(transport)
         self.send(self._hello)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -229,6 +229,11 @@
                 return
             self._handle_frame(source_link, frame)
 
+        def handle_lost(ended: link.Link) -> None:
+            if not hello_received.done():
+                hello_received.set_result(None)
+            self._handle_lost(ended)
+
         connected: link.Link | None = None
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
@@ -236,12 +241,14 @@
                     lambda: link.Link(
                         hello=frames.Hello(self._incarnation, False),
                         on_frame=handle_frame,
-                        on_lost=self._handle_lost,
+                        on_lost=handle_lost,
                     ),
                     host,
                     int(port),
                 )
                 await hello_received
+            if connected.lost:
+                raise ConnectionResetError(f"{self.address} closed the stream before its hello")
         except http_errors.CONNECT_FAILURES:
             if connected is not None:
                 connected.abort()
--- a/packages/mesh/src/laburnumford_mesh/tests/test_link.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_link.py
@@ -1,10 +1,13 @@
 """Tests of streams of frames between nodes."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
 from laburnumford_mesh import frames, link
+from laburnumford_mesh.tests import waiting
 
 
 @pytest.fixture
@@ -85,3 +88,37 @@
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             await reader.readexactly(1)
     assert "it is closed" in caplog.text
+
+
+async def test_stream_that_is_reset_while_it_is_opened_is_no_error(caplog):
+    """Guards against an uncaught error when a node is killed just after it was connected to.
+
+    The address of the other end is unknown then.
+    """
+    lost = asyncio.Event()
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        connecting = socket.create_connection(listening.getsockname())
+        accepted, _ = listening.accept()
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        accepted.close()
+    connecting.setblocking(False)
+    await waiting.until(lambda: not _is_connected(connecting))
+    await asyncio.get_running_loop().create_connection(
+        lambda: link.Link(
+            hello=frames.Hello(1, False),
+            on_frame=lambda *_: None,
+            on_lost=lambda _: lost.set(),
+        ),
+        sock=connecting,
+    )
+    async with asyncio.timeout(5):
+        await lost.wait()
+    assert not caplog.records
+
+
+def _is_connected(connecting):
+    try:
+        connecting.getpeername()
+    except OSError:
+        return False
+    return True
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -121,6 +121,21 @@
     await sender.close()
 
 
+async def test_call_to_a_node_that_closes_the_stream_is_refused_at_once():
+    """Guards against a wait for the hello of a node that has ended."""
+
+    async def close(_, writer):
+        writer.close()
+
+    server = await asyncio.start_server(close, "127.0.0.1", 0)
+    sender = Sender(server.sockets[0].getsockname()[1])
+    async with asyncio.timeout(0.4):
+        with pytest.raises(errors.RefusedError):
+            await sender.call()
+    await sender.close()
+    server.close()
+
+
 async def test_call_runs_once_when_its_stream_breaks(receiver):
     """Guards against a non-idempotent call that runs twice or is lost when its stream is reset."""
     sender = Sender(receiver.port)
