--- a/packages/mesh/src/laburnumford_mesh/configuration.py
+++ b/packages/mesh/src/laburnumford_mesh/configuration.py
@@ -32,6 +32,10 @@
         self.health_path_by_service = dict(health_path_by_service)
         self.max_connections_by_service = dict(max_connections_by_service)
         self.limits = limits
+        self.services = frozenset(self.health_path_by_service).union(
+            each.name for one_route in self.routes for each in one_route.services
+        )
+        """Names of all services that the configuration knows."""
         self._route_by_host_and_prefix = {(each.host, each.prefix): each for each in self.routes}
 
     def find_route(self, host: str, path: str) -> route.Route | None:
--- a/packages/mesh/src/laburnumford_mesh/directory.py
+++ b/packages/mesh/src/laburnumford_mesh/directory.py
@@ -40,9 +40,21 @@
         self.configuration: configuration.Configuration | None = None
 
     def servers(self) -> list[server_entry.ServerEntry]:
-        """Returns all registered servers, including those that drain."""
+        """Returns all registered servers, including those that drain, of any service."""
         return list(self._entry_by_key.values())
 
+    def configured_servers(self) -> list[server_entry.ServerEntry]:
+        """Returns the registered servers of services that the configuration knows.
+
+        An entry of another service names no server, even if it has the address of one.
+        """
+        current = self.configuration
+        return [
+            entry
+            for entry in self._entry_by_key.values()
+            if current is None or entry.service in current.services
+        ]
+
     def usable_servers(self) -> list[server_entry.ServerEntry]:
         """Returns the servers that may receive new requests.
 
@@ -50,7 +62,7 @@
         servers that have ended.
         """
         newest_by_address: dict[str, server_entry.ServerEntry] = {}
-        for entry in self._entry_by_key.values():
+        for entry in self.configured_servers():
             known = newest_by_address.get(entry.address)
             if known is None or entry.recency_key > known.recency_key:
                 newest_by_address[entry.address] = entry
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -336,7 +336,7 @@
 
     def _apply_directory(self) -> None:
         entries = self._directory.servers()
-        own = self._own_entry(entries)
+        own = self._own_entry(self._directory.configured_servers())
         if own is not None:
             current = self._directory.configuration
             paths = {} if current is None else current.health_path_by_service
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -192,7 +192,7 @@
             raise errors.StoreError("down")
 
 
-def make_configuration(version=1, *, timeout_s=1.0, max_attempts=2, prefix="/"):
+def make_configuration(version=1, *, timeout_s=1.0, max_attempts=2, prefix="/", service="s"):
     """Returns a configuration with an idempotent and a non-idempotent route to one service."""
 
     def make_route(name, *, idempotent):
@@ -200,7 +200,7 @@
             name=name,
             host="h",
             prefix=f"{prefix}{name}/",
-            services=(weighted_service.WeightedService("s", 1.0),),
+            services=(weighted_service.WeightedService(service, 1.0),),
             idempotent=idempotent,
             timeout_s=timeout_s,
             target_latency_s=0.3,
@@ -211,8 +211,8 @@
     return configuration.Configuration(
         version=version,
         routes=[make_route("get", idempotent=True), make_route("post", idempotent=False)],
-        health_path_by_service={"s": "/health"},
-        max_connections_by_service={"s": 100},
+        health_path_by_service={service: "/health"},
+        max_connections_by_service={service: 100},
         limits=limits.Limits(),
     )
 
--- a/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
@@ -90,6 +90,29 @@
     assert _ids(server_directory) == {"b"}
 
 
+@pytest.mark.parametrize("draining", [False, True])
+def test_entry_of_an_unknown_service_does_not_hide_a_server(server_directory, objects, draining):
+    """Guards against servers that are hidden by a foreign entry with their address (review/4)."""
+    _put(server_directory, objects, "op/config", conftest.make_configuration())
+    _put(server_directory, objects, "servers/a", conftest.make_entry("a", "1.1.1.1:1"))
+    foreign = conftest.make_entry(
+        "b", "1.1.1.1:1", service="unknown", draining=draining, started_ms=2
+    )
+    _put(server_directory, objects, "servers/b", foreign)
+    assert _ids(server_directory) == {"a"}
+
+
+def test_server_is_usable_once_its_service_is_configured(server_directory, objects):
+    """Guards against an entry that is forgotten because it came before the configuration."""
+    _put(server_directory, objects, "op/config", conftest.make_configuration(1))
+    _put(
+        server_directory, objects, "servers/a", conftest.make_entry("a", "1.1.1.1:1", service="t")
+    )
+    assert _ids(server_directory) == set()
+    _put(server_directory, objects, "op/config", conftest.make_configuration(2, service="t"))
+    assert _ids(server_directory) == {"a"}
+
+
 def test_entry_overwritten_with_an_invalid_value_is_removed(server_directory, objects):
     """Guards against a server that stays in use after its entry was overwritten."""
     _put(server_directory, objects, "servers/a", conftest.make_entry("a", "1.1.1.1:1"))
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -180,6 +180,23 @@
         assert (await fleet.request(ip, "GET", "/get/1", "1"))[0] == 502
 
 
+async def test_entries_of_an_unknown_service_do_not_hide_the_servers(pair):
+    """Guards against requests that are refused because of foreign entries (review/4).
+
+    The adjacent node must not take the foreign entry for that of its own server either.
+    """
+    fleet, addresses = pair
+    for index, backend in enumerate(fleet.backends):
+        foreign = conftest.make_entry(
+            f"agent-{index}", backend.address, service="unknown", started_ms=9
+        )
+        fleet.publish(f"servers/agent-{index}", foreign)
+    await asyncio.sleep(1.0)
+    for ip in addresses:
+        for index in range(4):
+            assert (await fleet.request(ip, "POST", "/post/1", f"{ip}-{index}"))[0] == 200
+
+
 async def test_nodes_serve_while_the_store_is_down(pair):
     """Guards against requests that fail because the store is down."""
     fleet, addresses = pair
