Install what the build of hdrhistogram needs before it is built

Cause: hdrhistogram has no wheel for arm64. Built without isolation and without pbr it gets the version 0.0.0, and pip ends with ResolutionImpossible. A wheel in pip's cache hid this.

Measured: make env with an empty pip cache on arm64 failed before and passes now. x86-64 was not run.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 
 $(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt setuptools
+	# Packages without a wheel for this machine are built with these.
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt setuptools pbr
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt -r requirements-dev.txt $(EDITABLE)
 	touch $@
 
