--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -13,8 +13,10 @@
     frames,
     load_header,
     server_notice,
+    server_rate_limit,
     server_request,
     server_speed,
+    service_times,
     wire_names,
 )
 from laburnumford_mesh.http import answer as answers
@@ -22,10 +24,8 @@
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
-    advertised_limit,
     knee_limit,
     reservations,
-    running_means,
     start_policy,
     work_queue,
 )
@@ -38,9 +38,6 @@
 """Longest idle time of a connection for a non-idempotent request. A server may drop an idle
 connection without notice and reset the next request, which then cannot be sent again."""
 
-_SERVICE_TIME_WEIGHT = 0.1
-"""Weight of one request in the mean service time; about the last ten count."""
-
 _SHORT_REQUEST_SHARE = 0.6
 """Share of the mean service time below which a request is cheap enough to serve late."""
 
@@ -120,9 +117,7 @@
         self._report_ids = itertools.count()
         self._exchanges: set[asyncio.Task[Any]] = set()
         self._reservations = reservations.Reservations()
-        self._service_times = running_means.RunningMeans(weight=_SERVICE_TIME_WEIGHT)
-        self._default_service_time_s_by_class: dict[str, float] = {}
-        self._mean_service_time_s = 0.0
+        self._service_times = service_times.ServiceTimes()
         self._speed = server_speed.ServerSpeed()
         self._health_path = ""
         self._probe: asyncio.Task[None] | None = None
@@ -137,9 +132,7 @@
         self._server_id_confirmed_s = -math.inf
         self._cold_server_id = ""
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
-        self._advertised_limit = advertised_limit.AdvertisedLimit()
-        self._limit_server_id = ""
-        self._limit_confirmed = False
+        self._rate_limit = server_rate_limit.ServerRateLimit(log=log, on_change=on_load_change)
         self.running = 0
         self.shutting_down = False
         self.run_count = 0
@@ -223,9 +216,9 @@
             speed.slow_for_s,
             speed.baseline,
             speed.mean_slowdown_s,
-            self._limit_confirmed and self._limit_server_id == self.server_id,
-            self._advertised_limit.rate_per_s,
-            self._free_tokens(now),
+            self._rate_limit.is_confirmed(self.server_id),
+            self._rate_limit.bucket.rate_per_s,
+            self._rate_limit.free_tokens(now, len(self._queue) + self._reservations.count(now)),
         )
 
     def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
@@ -303,8 +296,8 @@
         ):
             raise errors.RefusedError("other-server")
         if isinstance(request, frames.Request):
-            self._observe_known_limit(request)
-        self._default_service_time_s_by_class[request.request_class] = request.service_time_s
+            self._rate_limit.observe_sender(request.server_id, request.rate_limit_per_s)
+        self._service_times.expect(request.request_class, request.service_time_s)
         service_time_s = self._expected_service_time_s(request.request_class)
         if started_s + service_time_s > deadline_s:
             raise errors.RefusedError("deadline")
@@ -322,7 +315,7 @@
         )
         wait_s = self._expected_wait_s(entry, service_time_s)
         reserved = self._reservations.count(started_s)
-        limit_wait_s = self._advertised_limit.wait_s(
+        limit_wait_s = self._rate_limit.bucket.wait_s(
             started_s, self._queue.count_ahead_of(entry, started_s) + reserved
         )
         if started_s + limit_wait_s + service_time_s > deadline_s:
@@ -374,7 +367,7 @@
         """
         if (
             service_time_s
-            < self._mean_service_time_s * self._speed.baseline * _SHORT_REQUEST_SHARE
+            < self._service_times.mean_s * self._speed.baseline * _SHORT_REQUEST_SHARE
         ):
             return now + request.remaining_s
         return now + request.soft_remaining_s
@@ -499,7 +492,7 @@
         if answer.status < 300 and self._names.signature not in value_by_name:
             return frames.UnknownOutcome(request.call_id, "answer-unsigned", self.report())
         if answer.status < 300:
-            self._observe_service_time(request.request_class, service_time_s / max(slowness, 1.0))
+            self._service_times.observe(request.request_class, service_time_s / max(slowness, 1.0))
         head = fields.forwarded(list(answer.fields))
         return frames.Answer(
             request.call_id,
@@ -544,49 +537,15 @@
                 self.observe_draining(draining=True)
         if notice.limit_malformed or (is_health_check and notice.rate_limit_per_s is None):
             return
-        self._limit_server_id = server_id
-        self._limit_confirmed = True
-        self._apply_rate_limit(notice.rate_limit_per_s)
-
-    def _observe_known_limit(self, request: frames.Request) -> None:
-        """Applies the limit that the sender knows until this node has heard the server itself."""
-        if request.server_id != self._limit_server_id:
-            self._limit_server_id = request.server_id
-            self._limit_confirmed = False
-            self._apply_rate_limit(None)
-        if not self._limit_confirmed and request.rate_limit_per_s is not None:
-            self._apply_rate_limit(request.rate_limit_per_s)
-
-    def _apply_rate_limit(self, rate_per_s: float | None) -> None:
-        if self._advertised_limit.apply(clock.now(), rate_per_s):
-            self._log.write("rate_limit_changed", server=self.server_id, per_s=rate_per_s)
-            self._on_load_change()
-
-    def _free_tokens(self, now: float) -> float:
-        """Returns the tokens that no waiting or expected request will take, 0 without a limit."""
-        if self._advertised_limit.rate_per_s is None:
-            return 0.0
-        claimed = len(self._queue) + self._reservations.count(now)
-        return self._advertised_limit.tokens(now) - claimed
+        self._rate_limit.observe_server(server_id, notice.rate_limit_per_s)
 
     def _set_slots(self, slots: int) -> None:
         if slots != self._concurrency_limit.slots:
             self._concurrency_limit = knee_limit.KneeLimit(slots=slots)
 
-    def _observe_service_time(self, request_class: str, service_time_s: float) -> None:
-        mean_s = self._mean_service_time_s or service_time_s
-        self._mean_service_time_s = mean_s + _SERVICE_TIME_WEIGHT * (service_time_s - mean_s)
-        self._service_times.observe(request_class, service_time_s)
-
     def _expected_service_time_s(self, request_class: str) -> float:
         """Returns the expected service time in seconds outside a slowdown."""
-        return self._normal_service_time_s(request_class) * self._speed.baseline
-
-    def _normal_service_time_s(self, request_class: str) -> float:
-        """Returns the mean service time at normal speed in seconds."""
-        return self._service_times.mean(
-            request_class, self._default_service_time_s_by_class.get(request_class, 0.0)
-        )
+        return self._service_times.of_class(request_class) * self._speed.baseline
 
     def _release_slot(self) -> None:
         self.running -= 1
@@ -598,19 +557,19 @@
         if not len(self._queue) or self.running >= self.limit:
             return
         now = clock.now()
-        if not self._advertised_limit.can_admit(now):
+        if not self._rate_limit.bucket.can_admit(now):
             return
         if self._speed.age_s(now) > _MAX_SPEED_AGE_S and self._start_probe(now):
             return
         deferred: list[work_queue.WaitingRequest] = []
         speed = self._speed.current()
-        while self.running < self.limit and self._advertised_limit.can_admit(now):
+        while self.running < self.limit and self._rate_limit.bucket.can_admit(now):
             entry = self._queue.pop_next(now)
             if entry is None:
                 break
             if start_policy.should_start_now(
                 speed=speed,
-                service_time_s=self._normal_service_time_s(entry.request_class),
+                service_time_s=self._service_times.of_class(entry.request_class),
                 remaining_s=entry.deadline_s - now,
             ):
                 self._grant_slot(entry)
@@ -623,7 +582,7 @@
         granted = self._slot_grant_by_id.get(entry.entry_id)
         if granted is not None and not granted.done():
             self.running += 1
-            self._advertised_limit.admit(clock.now())
+            self._rate_limit.bucket.admit(clock.now())
             granted.set_result(None)
 
     def _start_probe(self, now: float) -> bool:
@@ -664,11 +623,11 @@
         now = clock.now()
         for entry in self._queue.shed(now):
             self._refuse_waiting_request(entry, "deadline")
-        if self._advertised_limit.rate_per_s is not None:
+        if self._rate_limit.bucket.rate_per_s is not None:
             for entry in self._queue.shed_unreachable(
-                now, lambda ahead: self._advertised_limit.wait_s(now, ahead)
+                now, lambda ahead: self._rate_limit.bucket.wait_s(now, ahead)
             ):
-                retry_after_s = self._advertised_limit.wait_s(now, len(self._queue))
+                retry_after_s = self._rate_limit.bucket.wait_s(now, len(self._queue))
                 self._refuse_waiting_request(entry, _RATE_LIMIT_REASON, retry_after_s)
         while (
             self._is_drain_start_window_over(now)
