Reject answers that end before the request was read, and impossible statuses

Cause: a server that answers a long upload at once with a 200 without a length, sends a part of the body and ends its connection was taken to have completed the answer, if a FIN came before the reset. Statuses below 100 were skipped like informational answers, so the caller waited until the deadline; statuses above 599 were passed on. Change: such an answer is complete only if the request had been written before it and the connection shows no reset shortly after its end. A status outside 100 to 599 fails the exchange.

--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP/1.1 connection to a backend server or the store."""
 
 import asyncio
+import socket
 from typing import cast
 
 import httptools
@@ -11,6 +12,14 @@
 from laburnumford_node.http import errors, fields, parsing
 
 _BODYLESS_STATUSES = frozenset({204, 304})
+_MIN_STATUS = 100
+_MAX_STATUS = 599
+_BODYLESS_METHODS = frozenset({b"GET", b"HEAD"})
+
+_RESET_CHECK_DELAY_S = 0.01
+"""Delay between the end of the received bytes and the check for a reset. A server that closes its
+connection with a part of the request unread sends a FIN, and right after it a reset."""
+
 _DEFAULT_KEEP_ALIVE_TIMEOUT_S = 5.0
 """Assumed for servers that send no Keep-Alive timeout."""
 
@@ -69,6 +78,8 @@
         self._in_trailers = False
         self._in_answer = False
         self._ends_at_eof = False
+        self._early = False
+        self._reset_check: asyncio.TimerHandle | None = None
         self._not_reusable = False
         self._lost = False
         self._eof = False
@@ -105,16 +116,28 @@
             )
 
     def eof_received(self) -> bool:
-        """Completes an answer that is delimited by the end of the connection."""
+        """Completes an answer that is delimited by the end of the connection.
+
+        After a request with a body the connection stays open for a moment, because the server
+        may have ended it without reading the body.
+        """
         self._eof = True
-        if self._ends_at_eof and self._in_answer:
-            self._not_reusable = True
+        if not self._ends_at_eof or not self._in_answer:
+            return False
+        self._not_reusable = True
+        if self._method in _BODYLESS_METHODS:
             self._deliver()
-        return False
+            return False
+        self._reset_check = asyncio.get_running_loop().call_later(
+            _RESET_CHECK_DELAY_S, self._complete_at_eof
+        )
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the current exchange."""
         self._lost = True
+        if self._reset_check is not None:
+            self._reset_check.cancel()
         self._fail(
             errors.TruncatedError(f"connection closed before the answer was complete: {exc}")
         )
@@ -150,7 +173,12 @@
         """Determines how the answer is delimited."""
         self._in_trailers = True
         status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            raise errors.BadMessageError(
+                502, f"answer has status {status}; allowed: {_MIN_STATUS} to {_MAX_STATUS}"
+            )
         value_by_name = dict(self._fields)
+        self._early = self._has_unwritten_bytes()
         self._ends_at_eof = (
             status >= 200
             and status not in _BODYLESS_STATUSES
@@ -280,6 +308,29 @@
         )
         self._release_body()
 
+    def _complete_at_eof(self) -> None:
+        """Delivers an answer that the end of the connection delimits, if the request was read.
+
+        A server that ends the connection while it should still read the request has given up, and
+        its answer may be a part.
+        """
+        if self._early or self._has_unwritten_bytes() or self._has_socket_error():
+            self._fail(
+                errors.TruncatedError("connection ended before the server had read the request")
+            )
+            return
+        self._deliver()
+
+    def _has_unwritten_bytes(self) -> bool:
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
+    def _has_socket_error(self) -> bool:
+        """Returns whether the connection was reset after its end."""
+        if self._transport is None or self._transport.is_closing():
+            return True
+        socket_ = self._transport.get_extra_info("socket")
+        return bool(socket_.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def _check_body_size(self, more_bytes: int) -> None:
         size = self._meter.body_bytes + more_bytes
         if size > self._limits.body_bytes:
