--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_early_answers.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_early_answers.py
@@ -60,7 +60,6 @@
     The server answers before it has read the upload. Nothing but the end of the connection
     delimits the answer, and the connection ends because the server gives up.
     """
-
     ended = asyncio.Event()
 
     async def serve(reader, writer):
