Reject impossible statuses in packages/node too

Cause: a server's answer with status 000 or 600 was passed on to the caller as an answer. Change: a status outside 100 to 599 is an invalid answer; both nodes share the range and the text. Measured: two new cases of test_client_connection.py failed before and pass now; 171 tests of both http packages pass.

--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -12,8 +12,6 @@
 from laburnumford_node.http import errors, fields, parsing
 
 _BODYLESS_STATUSES = frozenset({204, 304})
-_MIN_STATUS = 100
-_MAX_STATUS = 599
 _BODYLESS_METHODS = frozenset({b"GET", b"HEAD"})
 
 _RESET_CHECK_DELAY_S = 0.01
@@ -173,10 +171,8 @@
         """Determines how the answer is delimited."""
         self._in_trailers = True
         status = self._parser.get_status_code()
-        if not _MIN_STATUS <= status <= _MAX_STATUS:
-            raise errors.BadMessageError(
-                502, f"answer has status {status}; allowed: {_MIN_STATUS} to {_MAX_STATUS}"
-            )
+        if not parsing.MIN_STATUS <= status <= parsing.MAX_STATUS:
+            raise errors.BadMessageError(502, parsing.invalid_status(status))
         value_by_name = dict(self._fields)
         self._early = self._has_unwritten_bytes()
         self._ends_at_eof = (
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -96,7 +96,9 @@
     def on_headers_complete(self) -> None:
         """Passes the answer to the waiting task."""
         status = self._parser.get_status_code()
-        self._informational = 100 <= status < 200
+        if not parsing.MIN_STATUS <= status <= parsing.MAX_STATUS:
+            raise errors.BadMessageError(502, parsing.invalid_status(status))
+        self._informational = status < 200
         if self._informational:
             self._handle_informational(status)
             return
--- a/packages/node/src/laburnumford_node/http/parsing.py
+++ b/packages/node/src/laburnumford_node/http/parsing.py
@@ -6,6 +6,10 @@
 
 from laburnumford_node.http import errors
 
+MIN_STATUS = 100
+MAX_STATUS = 599
+"""The parser accepts any three digits as a status."""
+
 
 def feed_request(parser: Any, data: bytes | memoryview) -> None:
     """Parses bytes of a caller.
@@ -25,6 +29,11 @@
     _feed(parser, data, 502, "answer", (502, "answer 101 without a request for it"))
 
 
+def invalid_status(status: int) -> str:
+    """Returns the error text for an answer whose status no server may send."""
+    return f"answer has status {status}; allowed: {MIN_STATUS} to {MAX_STATUS}"
+
+
 def _feed(
     parser: Any,
     data: bytes | memoryview,
--- a/packages/node/src/laburnumford_node/http/tests/test_client_connection.py
+++ b/packages/node/src/laburnumford_node/http/tests/test_client_connection.py
@@ -96,6 +96,8 @@
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nabc",
         b"garbage\r\n\r\n",
         b"",
+        b"HTTP/1.1 000 Unknown\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 600 Unknown\r\ncontent-length: 2\r\n\r\nok",
     ],
 )
 async def test_truncated_or_invalid_answer_is_an_error(start_raw_server, connections, answer):
