Send nothing to the servers of an evacuated zone

Cause: operators evacuate a zone by writing a key, and nodes ignored it.

Change: every node excludes the servers of the zone from selection once it has the key. The node beside a server refuses requests that wait or arrive (zone-evacuated) and stops health checks; running requests finish. A sender that gets this refusal tries another zone. If all servers of a service are in evacuated zones, the caller gets 503 at once.

--- a/packages/mesh/src/laburnumford_mesh/directory.py
+++ b/packages/mesh/src/laburnumford_mesh/directory.py
@@ -3,7 +3,15 @@
 import collections
 from collections.abc import Callable, Iterable
 
-from laburnumford_mesh import clock, configuration, event_log, record, server_entry
+from laburnumford_mesh import (
+    clock,
+    configuration,
+    evacuations,
+    event_log,
+    record,
+    server_entry,
+    zone_evacuation,
+)
 
 _REGISTRATION_GRACE_S = 2.0
 """Entries that expired during an outage of the store are registered again within this time after
@@ -12,7 +20,9 @@
 _MAX_REMOVED_ENTRIES = 4096
 """Removed entries that are remembered, so that a delayed renewal does not register one again."""
 
-Decoded = configuration.Configuration | server_entry.ServerEntry | None
+Decoded = (
+    configuration.Configuration | server_entry.ServerEntry | zone_evacuation.ZoneEvacuation | None
+)
 Decoder = Callable[[record.Record], Decoded]
 """Returns the decoded record, or None if it is invalid or irrelevant; invalid ones are logged."""
 
@@ -37,8 +47,14 @@
         self._removed_entry_by_key: collections.OrderedDict[str, server_entry.ServerEntry] = (
             collections.OrderedDict()
         )
+        self._evacuations = evacuations.Evacuations(log=log)
         self.configuration: configuration.Configuration | None = None
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Names of the zones whose servers must get nothing."""
+        return self._evacuations.zones
+
     def servers(self) -> list[server_entry.ServerEntry]:
         """Returns all registered servers, including those that drain, of any service."""
         return list(self._entry_by_key.values())
@@ -66,7 +82,21 @@
             known = newest_by_address.get(entry.address)
             if known is None or entry.recency_key > known.recency_key:
                 newest_by_address[entry.address] = entry
-        return [entry for entry in newest_by_address.values() if not entry.draining]
+        evacuated_zones = self.evacuated_zones
+        return [
+            entry
+            for entry in newest_by_address.values()
+            if not entry.draining and entry.zone not in evacuated_zones
+        ]
+
+    def evacuated_services(self) -> frozenset[str]:
+        """Returns the services that have servers in evacuated zones."""
+        evacuated_zones = self.evacuated_zones
+        return frozenset(
+            entry.service
+            for entry in self._entry_by_key.values()
+            if entry.zone in evacuated_zones and not entry.draining
+        )
 
     def apply(self, records: Iterable[record.Record], *, after_outage: bool) -> None:
         """Applies changed records.
@@ -86,6 +116,8 @@
                 changed |= self._register(each.key, decoded)
             elif isinstance(decoded, configuration.Configuration):
                 changed |= self._activate(decoded)
+            elif isinstance(decoded, zone_evacuation.ZoneEvacuation):
+                changed |= self._evacuations.add(each.key, decoded.zone)
             elif each.key in self._entry_by_key:
                 # The entry was overwritten with a value that is not a server entry.
                 del self._entry_by_key[each.key]
@@ -94,13 +126,13 @@
             self._on_change()
 
     def sweep(self) -> None:
-        """Removes servers that did not register again in time after an outage of the store."""
+        """Removes servers and evacuations that were not written again in time after an outage."""
         now = clock.now()
         expired = [key for key, until_s in self._retained_until_by_key.items() if now >= until_s]
         for key in expired:
             del self._retained_until_by_key[key]
             self._entry_by_key.pop(key, None)
-        if expired:
+        if self._evacuations.sweep() or expired:
             self._on_change()
 
     def _decode_or_log(self, each: record.Record) -> Decoded:
@@ -144,7 +176,7 @@
     def _remove(self, key: str, after_outage: bool) -> bool:
         entry = self._entry_by_key.get(key)
         if entry is None:
-            return False
+            return self._evacuations.remove(key, after_outage=after_outage)
         if after_outage and not entry.draining:
             self._retained_until_by_key.setdefault(key, clock.now() + _REGISTRATION_GRACE_S)
             return False
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -72,6 +72,13 @@
 despite its slowdown. Each refusal costs a round trip of up to 3 ms; a slowdown lasts about
 100 ms."""
 
+_EVACUATED_REASON = "zone-evacuated"
+"""The zone of the server is evacuated, which this node has not learned of yet."""
+
+_EVACUATION_RETRY_AFTER_S = 1.0
+"""Seconds after which callers may ask again for a service whose servers are all in evacuated zones.
+All nodes learn of the end of an evacuation within about this time."""
+
 _BLOCK_S_BY_REASON = {
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
     _OFFER_TIMEOUT_REASON: _DOWN_BLOCK_S,
@@ -80,6 +87,7 @@
     "server-down": _DOWN_BLOCK_S,
     "other-server": _REPLACED_BLOCK_S,
     "misdirected": _REPLACED_BLOCK_S,
+    _EVACUATED_REASON: _UNREACHABLE_BLOCK_S,
 }
 
 Result = peer.Result
@@ -174,9 +182,7 @@
                 ongoing.soft_deadline_s - now,
             )
             if view is None:
-                return self._give_up(
-                    history, "no-server" if not history.excluded_server_ids else "no-room"
-                )
+                return self._give_up_without_server(ongoing, history)
             service_time_s = _service_time_s(ongoing, state) * view.baseline(now)
             if now + service_time_s > ongoing.deadline_s:
                 # The node of every server would refuse it.
@@ -217,15 +223,19 @@
         if isinstance(result, frames.Answer):
             history.last_failed_answer = result
 
-    @staticmethod
     def _observe_refusal(
-        history: _AttemptHistory, used_view: server_view.ServerView, result: frames.Refusal
+        self, history: _AttemptHistory, used_view: server_view.ServerView, result: frames.Refusal
     ) -> None:
         if result.reason == _SLOW_REASON:
             history.slow_server_ids.add(used_view.server_id)
             return
         history.excluded_server_ids.add(used_view.server_id)
         history.refusals += 1
+        if result.reason == _EVACUATED_REASON:
+            # The nodes of the other servers there would refuse the request as well.
+            history.excluded_server_ids.update(
+                self._services.servers_in_zone_of(used_view.server_id)
+            )
         if result.reason in _SERVER_REFUSAL_REASONS:
             history.server_attempts += 1
         if result.retry_after_s:
@@ -237,6 +247,17 @@
         if block_s is not None:
             used_view.blocked_until_s = clock.now() + block_s
 
+    def _give_up_without_server(
+        self, ongoing: call.Call, history: _AttemptHistory
+    ) -> frames.Answer:
+        """Gives up a request for which no server is left to be chosen."""
+        if history.excluded_server_ids:
+            return self._give_up(history, "no-room")
+        if self._services.is_evacuated(ongoing.service):
+            history.retry_after_s = _EVACUATION_RETRY_AFTER_S
+            return self._give_up(history, _EVACUATED_REASON)
+        return self._give_up(history, "no-server")
+
     @staticmethod
     def _give_up(history: _AttemptHistory, reason: str) -> frames.Answer:
         if history.last_failed_answer is not None:
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -66,6 +66,9 @@
 _RATE_LIMIT_REASON = "rate-limited"
 """The server advertises a rate at which it cannot get the request in time."""
 
+_EVACUATED_REASON = "zone-evacuated"
+"""Nothing may be sent to the server until the evacuation of its zone ends."""
+
 _DEADLINE_GRACE_S = 0.03
 """Allowance for an answer that the server sends at the deadline to arrive."""
 
@@ -127,6 +130,7 @@
         self._started_ms = 0
         self._leaving_server_id = ""
         self._leaving_started_ms = 0
+        self._evacuated = False
         self._unreachable = False
         self.server_id = ""
         self._server_id_confirmed_s = -math.inf
@@ -201,6 +205,15 @@
                 said_by_server=self._is_leaving(),
             )
 
+    def observe_evacuation(self, *, evacuated: bool) -> None:
+        """Records whether the zone of the server is evacuated.
+
+        While it is, the server gets neither requests nor health checks. Running requests finish.
+        """
+        self._evacuated = evacuated
+        if evacuated:
+            self._shed_waiting_requests()
+
     def report(self) -> frames.LoadReport:
         """Returns a load report for other nodes."""
         now = clock.now()
@@ -287,6 +300,8 @@
         """
         if self.shutting_down:
             raise errors.RefusedError("leaving")
+        if self._evacuated:
+            raise errors.RefusedError(_EVACUATED_REASON)
         if self._is_drain_start_window_over(started_s):
             raise errors.RefusedError("server-draining")
         if started_s < self._down_until_s:
@@ -295,6 +310,9 @@
             request.server_id
         ):
             raise errors.RefusedError("other-server")
+        if self._evacuated:
+            # The evacuation may have begun during the probe for the id of the server.
+            raise errors.RefusedError(_EVACUATED_REASON)
         if isinstance(request, frames.Request):
             self._rate_limit.observe_sender(request.server_id, request.rate_limit_per_s)
         self._service_times.expect(request.request_class, request.service_time_s)
@@ -408,6 +426,8 @@
         running = self.running
         try:
             connection = await self._acquire_connection(request, request_id)
+            if self._evacuated:
+                return self.refusal(request.call_id, _EVACUATED_REASON)
             sent_s = clock.now()
             remaining_s = deadline_s - sent_s
             if remaining_s <= 0:
@@ -587,7 +607,7 @@
 
     def _start_probe(self, now: float) -> bool:
         """Starts a probe of the server's speed; returns whether one is in progress."""
-        if not self._health_path:
+        if not self._health_path or self._evacuated:
             return False
         if self._probe is not None:
             return True
@@ -621,6 +641,8 @@
 
     def _shed_waiting_requests(self) -> None:
         now = clock.now()
+        while self._evacuated and (evicted := self._queue.pop_next(now)) is not None:
+            self._refuse_waiting_request(evicted, _EVACUATED_REASON)
         for entry in self._queue.shed(now):
             self._refuse_waiting_request(entry, "deadline")
         if self._rate_limit.bucket.rate_per_s is not None:
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -90,6 +90,9 @@
 _NODE_ERROR_REASON = "node-error"
 """The node failed with an unexpected error, which its log has."""
 
+_NO_VALUES_REASON = "no-configuration"
+"""The node has started and has no published values yet."""
+
 _COMPRESSION_LEVEL = 6
 """Level of zlib; shrinks configurations, which are JSON, to a tenth."""
 
@@ -297,6 +300,7 @@
         current = self._directory.configuration
         text = self._metrics.render(
             {
+                "zones_evacuated": len(self._directory.evacuated_zones),
                 "version": 0 if current is None else current.version,
                 "values_age_seconds": min(self._sync.age_s(), 1e6),
                 "store_reads_total": self._sync.read_count,
@@ -320,6 +324,9 @@
         )
 
     async def _run_for_peer(self, frame: frames.Request | frames.Offer) -> Any:
+        if not self._sync.revision:
+            # The first published values may say that the zone of the server is evacuated.
+            return self._local.refusal(frame.call_id, _NO_VALUES_REASON)
         try:
             return await self._local.run(frame)
         except Exception:
@@ -349,10 +356,17 @@
             )
         if self._local.server_id:
             self._local.observe_draining(draining=own is None or own.draining)
+        self._apply_evacuations(own)
         self._peers.apply({entry.ip: entry.zone for entry in entries})
         self._services.apply(self._directory.usable_servers(), node_count=self._peers.count + 1)
         self._rank = self._compute_rank(entries)
 
+    def _apply_evacuations(self, own: server_entry.ServerEntry | None) -> None:
+        evacuated_zones = self._directory.evacuated_zones
+        own_zones = {self._settings.zone} if own is None else {self._settings.zone, own.zone}
+        self._local.observe_evacuation(evacuated=not own_zones.isdisjoint(evacuated_zones))
+        self._services.set_evacuated_services(self._directory.evacuated_services())
+
     def _own_entry(
         self, entries: Sequence[server_entry.ServerEntry]
     ) -> server_entry.ServerEntry | None:
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -61,6 +61,7 @@
         self.entry_by_server_id: dict[str, server_entry.ServerEntry] = {}
         self._node_count = 1
         self._entries: list[server_entry.ServerEntry] = []
+        self._evacuated_services: frozenset[str] = frozenset()
         self._leaving_started_ms_by_id: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -87,6 +88,27 @@
         self._node_count = node_count
         self._apply_entries()
 
+    def set_evacuated_services(self, evacuated_services: frozenset[str]) -> None:
+        """Replaces the services that have servers in evacuated zones."""
+        self._evacuated_services = evacuated_services
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether all servers of a service are in evacuated zones."""
+        return (
+            service in self._evacuated_services and not self.state(service).placement.views_by_id
+        )
+
+    def servers_in_zone_of(self, server_id: str) -> list[str]:
+        """Returns the ids of the usable servers in the zone of a server, of any service."""
+        named = self.entry_by_server_id.get(server_id)
+        if named is None:
+            return []
+        return [
+            entry.server_id
+            for entry in self.entry_by_server_id.values()
+            if entry.zone == named.zone
+        ]
+
     def exclude_leaving(self, view: server_view.ServerView) -> None:
         """Excludes a server that has said that it leaves from new requests.
 
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -218,14 +218,22 @@
 
 
 def make_entry(
-    server_id, address, *, service="s", draining=False, started_ms=1, sequence=1, revision=1
+    server_id,
+    address,
+    *,
+    service="s",
+    zone="z",
+    draining=False,
+    started_ms=1,
+    sequence=1,
+    revision=1,
 ):
     """Returns a server entry."""
     return server_entry.ServerEntry(
         server_id=server_id,
         service=service,
         address=address,
-        zone="z",
+        zone=zone,
         slots=SLOTS,
         draining=draining,
         cold_remaining_s=0.0,
@@ -301,17 +309,17 @@
         """Returns a loopback address that depends on the process id, to avoid clashes."""
         return f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{index + 1}"
 
-    async def add(self, index):
+    async def add(self, index, *, zone="z"):
         """Starts a backend server and its node; returns the IP address of both."""
         ip = self.ip(index)
         backend = Backend(f"server-{index}")
         await backend.start(f"{ip}:0")
         self.backends.append(backend)
-        self.publish(f"servers/{index}", make_entry(backend.server_id, backend.address))
+        self.publish(f"servers/{index}", make_entry(backend.server_id, backend.address, zone=zone))
         own = settings.MeshSettings(
             node=f"node-{index}",
             ip=ip,
-            zone="z",
+            zone=zone,
             service="s",
             server_address=backend.address,
             edge_address=f"{ip}:17000",
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -134,7 +134,7 @@
     return _dispatcher(scripted, log, 2)
 
 
-def _dispatcher(scripted, log, servers):
+def _dispatcher(scripted, log, servers, zones=("z",)):
     local: typing.Any = UnrelatedServer()
     learned = services.Services(
         zone="z",
@@ -144,7 +144,9 @@
     )
     learned.apply(
         [
-            conftest.make_entry(f"server-{index}", f"127.0.0.{index + 2}:1")
+            conftest.make_entry(
+                f"server-{index}", f"127.0.0.{index + 2}:1", zone=zones[index % len(zones)]
+            )
             for index in range(servers)
         ],
         node_count=1,
@@ -318,3 +320,18 @@
         await two_server_dispatcher.dispatch(_call(max_attempts=1))
     left = scripted.requests[0].server_id
     assert left not in {request.server_id for request in scripted.requests[1:]}
+
+
+async def test_refusal_of_an_evacuated_zone_leads_to_another_zone(scripted, log):
+    """Guards against a request that gives up after it asked every server of an evacuated zone."""
+    made = _dispatcher(scripted, log, 12, zones=("y", "z"))
+
+    def answer_outside(request):
+        number = int(request.server_id.rpartition("-")[2])
+        return _answer(200)(request) if number % 2 else _refusal("zone-evacuated")(request)
+
+    scripted.results = [(0, answer_outside)]
+    for _ in range(20):
+        sent = len(scripted.requests)
+        assert (await made.dispatch(_call(idempotent=False))).status == 200
+        assert len(scripted.requests) - sent <= 2
