Explain the decisions about one request from the logs of all nodes

Cause: to find out why a request was rejected, sent to a server or kept waiting, an engineer collected its lines by hand, and the lines lacked what the decision was based on: the expected time, the known load, the number of candidate servers, the time left and the version of the configuration.

Change: `laburnumford why REQUEST_ID LOGS...` prints a timeline over all nodes, the conditions that explain a step (an evacuated zone, a cold server, a rate limit, memory, shares, overflow between zones) and a closing sentence; `--json` writes one document. The lines `attempt`, `refused` and `failed` have new fields at their end.

--- a/packages/client/src/laburnumford_client/main.py
+++ b/packages/client/src/laburnumford_client/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from laburnumford_client import bundle, check, decisions, explain, status, trace
+from laburnumford_client import bundle, check, decisions, explain, status, trace, why
 from laburnumford_objects import errors
 
 
@@ -19,6 +19,7 @@
 commands.add_command(explain.explain)
 commands.add_command(trace.trace)
 commands.add_command(decisions.decisions)
+commands.add_command(why.why)
 
 
 def main() -> None:
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -9,6 +9,7 @@
 from laburnumford_mesh import (
     call,
     clock,
+    decision_figures,
     errors,
     event_log,
     frames,
@@ -192,6 +193,10 @@
             if history.refusals >= _MAX_REFUSALS_PER_REQUEST:
                 return self._give_up(history, "no-room")
 
+    def figures(self, ongoing: call.Call) -> dict[str, Any]:
+        """Returns what is known about the servers for a request that gets no answer of one."""
+        return decision_figures.of_end(clock.now(), ongoing, self._services.state(ongoing.service))
+
     @staticmethod
     def _is_failure(ongoing: call.Call, result: frames.Answer) -> bool:
         return ongoing.idempotent and result.status >= 500 and result.status != 504
@@ -329,8 +334,16 @@
         view: server_view.ServerView,
         history: _AttemptHistory,
     ) -> Result:
-        view.observe_sent()
         started_s = clock.now()
+        figures = decision_figures.of_choice(
+            started_s,
+            ongoing,
+            state,
+            view,
+            history.excluded_server_ids,
+            self._services.entry_by_server_id.get(view.server_id),
+        )
+        view.observe_sent()
         result: Result | None = None
         try:
             result = await self._send(ongoing, state, view, history, started_s)
@@ -339,7 +352,7 @@
             ended_s = clock.now()
             if result is not None:
                 self._observe_result(ongoing, state, view, result, ended_s)
-                self._log_attempt(ongoing, view, result, ended_s - started_s)
+                self._log_attempt(ongoing, view, result, ended_s - started_s, figures)
         return result
 
     async def _send(
@@ -445,7 +458,12 @@
             view.observe_result(now=now, failed=True)
 
     def _log_attempt(
-        self, ongoing: call.Call, view: server_view.ServerView, result: Result, latency_s: float
+        self,
+        ongoing: call.Call,
+        view: server_view.ServerView,
+        result: Result,
+        latency_s: float,
+        figures: dict[str, Any],
     ) -> None:
         values: dict[str, Any] = {
             "id": ongoing.request_id,
@@ -465,6 +483,9 @@
             values["work_ms"] = round(result.service_time_s * 1000, 1)
         else:
             values["refused" if isinstance(result, frames.Refusal) else "unknown"] = result.reason
+        values |= figures
+        if isinstance(result, frames.Refusal) and result.retry_after_s:
+            values["retry_after_s"] = round(result.retry_after_s, 3)
         self._log.write("attempt", **values)
 
 
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -4,6 +4,7 @@
 import json
 import random
 from collections.abc import Callable
+from typing import Any
 
 from laburnumford_mesh import (
     call,
@@ -219,6 +220,7 @@
             reason=reason,
             ms=round((clock.now() - ongoing.arrived_s) * 1000, 1),
             version=current.version,
+            **self._dispatcher.figures(ongoing),
         )
         return self._local_answer(status, reason)
 
@@ -231,6 +233,13 @@
     ) -> answers.Answer:
         self._metrics.count("refusals_total", reason)
         wait_s = max(retry_after_s, _MIN_RETRY_AFTER_S)
+        current = self._current_configuration()
+        figures: dict[str, Any] = {}
+        if ongoing is not None:
+            figures = {
+                "ms": round((clock.now() - ongoing.arrived_s) * 1000, 1),
+                **self._dispatcher.figures(ongoing),
+            }
         self._log.write(
             "refused",
             id=request_id,
@@ -239,6 +248,8 @@
             route=None if ongoing is None else ongoing.route_name,
             service=None if ongoing is None else ongoing.service,
             values_age_s=round(min(self._values_age_s(), 1e6), 3),
+            version=None if current is None else current.version,
+            **figures,
         )
         return self._local_answer(503, reason, [(self._names.retry_after, b"%.3f" % wait_s)])
 
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -162,6 +162,18 @@
         wait_s = max(service_time_s * speed.baseline * rounds, self._limit_wait_s(now))
         return (self.round_trip_s + completion_s + wait_s) / (1.0 - failing) ** 2
 
+    def known_load(self) -> tuple[int, int, int]:
+        """Returns the reported load, the requests sent since the report, and the limit.
+
+        The load is the number of requests that run or wait; the limit is the number that run at a
+        time.
+        """
+        return (self._load, self._sent_since_report, self._limit)
+
+    def estimated_slowness(self, now: float) -> float:
+        """Returns the estimated slowness of the server; 1 is normal speed."""
+        return self._speed(now).slowness
+
     def _limit_wait_s(self, now: float) -> float:
         """Returns the expected wait for the rate limit of the server in seconds."""
         if self.rate_limit_per_s is None:
