--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is published."""
--- /dev/null
+++ b/packages/mesh/src/laburnumford_mesh/checks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of configurations."""
