Log cancelled attempts, and mark those that run beside another one

Cause: an attempt that was cancelled, because the deadline passed, another attempt answered or the caller disconnected, had no line. `laburnumford why` could not name the server at which a request had waited until its deadline, and took a hedge for a first choice.

Change: such an attempt has a line with `unknown=cancelled`, and each attempt line ends with `hedge`. `why` states how long the server had not answered, and the time that was expected.

--- a/packages/client/src/laburnumford_client/closing_sentence.py
+++ b/packages/client/src/laburnumford_client/closing_sentence.py
@@ -91,11 +91,19 @@
     tried = [step for step in shown.attempts if step.reason]
     if tried:
         text += f" ({_count(tried)})"
-    elif not shown.attempts:
-        text += "; an attempt that was cancelled at the deadline has no line"
+        text += _overdue(tried[-1])
     return f"{text}{_cause_text(final, *tried)}."
 
 
+def _overdue(last: request_step.Step) -> str:
+    """Returns how long an attempt waited that was cancelled, with the time that was expected."""
+    ms = event_values.number(last.event, "ms")
+    expected_ms = event_values.number(last.event, "expected_ms")
+    if last.reason != "cancelled" or ms is None or expected_ms is None:
+        return ""
+    return f"; {last.server} had not answered after {ms:g} ms, expected were {expected_ms:g} ms"
+
+
 def _unfinished(shown: timeline.Timeline) -> str:
     last = shown.steps[-1]
     text = f"No log has the final answer; the last event is {last.name}"
--- a/packages/client/src/laburnumford_client/step_text.py
+++ b/packages/client/src/laburnumford_client/step_text.py
@@ -73,7 +73,7 @@
     text = f"its node reported running {load[0]:g}, waiting {load[1]:g}, limit {load[2]:g}"
     if slowness is not None:
         text += f", slowness {slowness:g}"
-        text += "" if age_s is None else f" of {age_s * 1000:g} ms before"
+        text += "" if age_s is None else f" ({age_s * 1000:g} ms old)"
     return [text]
 
 
--- a/packages/client/src/laburnumford_client/tests/test_why.py
+++ b/packages/client/src/laburnumford_client/tests/test_why.py
@@ -13,6 +13,7 @@
     "service_ms": 30.0,
     "view": [3, 1, 4],
     "view_slowness": 1.0,
+    "hedge": False,
 }
 END = {"servers": [3, 1], "service_ms": 30.0, "remaining_ms": 12.0, "max_attempts": 2}
 
@@ -207,7 +208,7 @@
     _, text, document = explain(
         [
             _attempt(10.4, "s1", 390.0, unknown="answer-broken"),
-            _attempt(10.2, "s2", 50.0, status=200, work_ms=45.0, **CHOICE),
+            _attempt(10.2, "s2", 50.0, status=200, work_ms=45.0, **(CHOICE | {"hedge": True})),
             _line(10.4, "n1", "answered", id="a", service="s", status=200, ms=400.0, version=7),
         ],
         [_line(10.39, "n2", "answer_broken", id="a", server="s1", error="cut")],
@@ -218,6 +219,28 @@
     assert document["steps"][0]["causes"][0]["event"] == "answer_broken"
 
 
+def test_overlapping_attempts_of_an_earlier_release_are_hedges(explain):
+    """Guards against a second copy that looks like a retry in logs without the field."""
+    _, _, document = explain(
+        [
+            _attempt(10.4, "s1", 390.0, unknown="peer-timeout"),
+            _attempt(10.2, "s2", 50.0, status=200, work_ms=45.0),
+        ]
+    )
+    assert [step["hedge"] for step in document["steps"]] == [False, True]
+
+
+def test_cancelled_attempt_names_the_server_that_did_not_answer(explain):
+    """Guards against a request that waited until its deadline without a word on where."""
+    _, _, document = explain(
+        [
+            _attempt(10.4, "s1", 390.0, unknown="cancelled", **CHOICE),
+            _line(10.4, "n1", "failed", id="a", status=504, reason="deadline", ms=400.0),
+        ]
+    )
+    assert "s1 had not answered after 390 ms, expected were 45 ms" in document["sentence"]
+
+
 def test_deadline_without_attempt_states_the_figures(explain):
     """Guards against a refusal at the first node without the times that it compared."""
     _, _, document = explain([_refused(10.2, "deadline", ms=1.0, **END)])
--- a/packages/client/src/laburnumford_client/timeline.py
+++ b/packages/client/src/laburnumford_client/timeline.py
@@ -60,7 +60,7 @@
         step = request_step.Step(
             event=event,
             start_s=start_s,
-            hedge=attempt and start_s + _ROUNDING_S < last_end_s,
+            hedge=attempt and _is_hedge(event, last_end_s),
             causes=(),
         )
         causes = _find_causes(step, subject | event, log)
@@ -70,6 +70,17 @@
     return steps
 
 
+def _is_hedge(event: dict[str, Any], last_end_s: float) -> bool:
+    """Returns whether an attempt was a second copy.
+
+    Lines of earlier releases do not say so; there an attempt that began before the end of an
+    earlier one counts.
+    """
+    if "hedge" in event:
+        return event["hedge"] is True
+    return event_values.start_s(event) + _ROUNDING_S < last_end_s
+
+
 def _subject(events: list[dict[str, Any]]) -> dict[str, Any]:
     """Returns service and request class, which only the final answer states."""
     found: dict[str, Any] = {}
--- a/packages/mesh/src/laburnumford_mesh/decision_figures.py
+++ b/packages/mesh/src/laburnumford_mesh/decision_figures.py
@@ -14,6 +14,8 @@
     view: server_view.ServerView,
     excluded: Collection[str],
     entry: server_entry.ServerEntry | None,
+    *,
+    hedge: bool,
 ) -> dict[str, Any]:
     """Returns what was known about a server when a request was sent to it.
 
@@ -26,6 +28,7 @@
         view: the chosen server.
         excluded: ids of servers that this request has already tried.
         entry: entry of the server, None if it was removed.
+        hedge: whether the request also runs on another server.
     """
     service_time_s = state.placement.mean_service_time_s(
         ongoing.route_name, ongoing.default_service_time_s
@@ -38,6 +41,7 @@
         "service_ms": _ms(service_time_s),
         "view": list(view.known_load()),
         "view_slowness": round(view.estimated_slowness(now), 2),
+        "hedge": hedge,
     }
 
 
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -73,6 +73,9 @@
 despite its slowdown. Each refusal costs a round trip of up to 3 ms; a slowdown lasts about
 100 ms."""
 
+_CANCELLED_REASON = "cancelled"
+"""Attempt that ended because another one answered, the deadline passed or the caller left."""
+
 _BLOCK_S_BY_REASON = {
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
     _OFFER_TIMEOUT_REASON: _DOWN_BLOCK_S,
@@ -270,7 +273,9 @@
                 if hedge_view is not None:
                     self._metrics.count("hedges_total", ongoing.service)
                     view_by_task[
-                        loop.create_task(self._attempt(ongoing, state, hedge_view, history))
+                        loop.create_task(
+                            self._attempt(ongoing, state, hedge_view, history, hedge=True)
+                        )
                     ] = hedge_view
             return await self._first_success(ongoing, view_by_task, history)
         finally:
@@ -333,6 +338,8 @@
         state: services.ServiceState,
         view: server_view.ServerView,
         history: _AttemptHistory,
+        *,
+        hedge: bool = False,
     ) -> Result:
         started_s = clock.now()
         figures = decision_figures.of_choice(
@@ -342,11 +349,22 @@
             view,
             history.excluded_server_ids,
             self._services.entry_by_server_id.get(view.server_id),
+            hedge=hedge,
         )
         view.observe_sent()
         result: Result | None = None
         try:
             result = await self._send(ongoing, state, view, history, started_s)
+        except asyncio.CancelledError:
+            self._log.write(
+                "attempt",
+                id=ongoing.request_id,
+                server=view.server_id,
+                ms=round((clock.now() - started_s) * 1000, 1),
+                unknown=_CANCELLED_REASON,
+                **figures,
+            )
+            raise
         finally:
             view.observe_ended()
             ended_s = clock.now()
--- a/packages/mesh/src/laburnumford_mesh/tests/test_decision_figures.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_decision_figures.py
@@ -1,5 +1,6 @@
 """Tests of the figures in the log lines of decisions."""
 
+import asyncio
 import json
 import random
 from collections.abc import Callable
@@ -45,9 +46,12 @@
         return 0.0
 
     async def call(self, sent, timeout_s):
-        """Returns the result."""
+        """Returns the result, or waits for ever if it is None."""
         del timeout_s
-        return self.make(sent)
+        result = self.make(sent)
+        if result is None:
+            await asyncio.Event().wait()
+        return result
 
 
 def _configuration(timeout_s):
@@ -127,6 +131,9 @@
                 remote_ip="127.0.0.1",
             )
         )
+        # Cancelled attempts end after the answer.
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        await asyncio.gather(*others, return_exceptions=True)
         return [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
 
     return run
@@ -144,7 +151,7 @@
     assert attempt["servers"] == [2, 0]
     assert attempt["view"] == [0, 0, conftest.SLOTS]
     assert attempt["expected_ms"] >= attempt["service_ms"] == 100.0
-    assert list(attempt)[-1] == "view_slowness"
+    assert list(attempt)[-1] == "hedge"
 
 
 async def test_refusals_state_the_expected_wait_and_the_servers_left(handle, peers):
@@ -181,3 +188,13 @@
     *_, failed = await handle()
     assert failed["event"] == "failed"
     assert failed["servers"] == [2, 1]
+
+
+async def test_attempts_that_are_cancelled_have_a_line(handle, peers):
+    """Guards against a request whose time passes at a server that no line names."""
+    peers.make = lambda _: None
+    failed, first, second = await handle(timeout_s=0.5)
+    assert [first["unknown"], second["unknown"]] == ["cancelled", "cancelled"]
+    assert {first["server"], second["server"]} == {"s2", "s3"}
+    assert sorted([first["hedge"], second["hedge"]]) == [False, True]
+    assert (failed["event"], failed["reason"], failed["status"]) == ("failed", "deadline", 504)
