--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -9,6 +9,7 @@
 from laburnumford_mesh import (
     call,
     clock,
+    decision_figures,
     errors,
     event_log,
     frames,
@@ -79,6 +80,9 @@
 """Seconds after which callers may ask again for a service whose servers are all in evacuated zones.
 All nodes learn of the end of an evacuation within about this time."""
 
+_CANCELLED_REASON = "cancelled"
+"""Attempt that ended because another one answered, the deadline passed or the caller left."""
+
 _BLOCK_S_BY_REASON = {
     "peer-unreachable": _UNREACHABLE_BLOCK_S,
     _OFFER_TIMEOUT_REASON: _DOWN_BLOCK_S,
@@ -198,6 +202,10 @@
             if history.refusals >= _MAX_REFUSALS_PER_REQUEST:
                 return self._give_up(history, "no-room")
 
+    def figures(self, ongoing: call.Call) -> dict[str, Any]:
+        """Returns what is known about the servers for a request that gets no answer of one."""
+        return decision_figures.of_end(clock.now(), ongoing, self._services.state(ongoing.service))
+
     @staticmethod
     def _is_failure(ongoing: call.Call, result: frames.Answer) -> bool:
         return ongoing.idempotent and result.status >= 500 and result.status != 504
@@ -286,7 +294,9 @@
                 if hedge_view is not None:
                     self._metrics.count("hedges_total", ongoing.service)
                     view_by_task[
-                        loop.create_task(self._attempt(ongoing, state, hedge_view, history))
+                        loop.create_task(
+                            self._attempt(ongoing, state, hedge_view, history, hedge=True)
+                        )
                     ] = hedge_view
             return await self._first_success(ongoing, view_by_task, history)
         finally:
@@ -349,18 +359,39 @@
         state: services.ServiceState,
         view: server_view.ServerView,
         history: _AttemptHistory,
+        *,
+        hedge: bool = False,
     ) -> Result:
-        view.observe_sent()
         started_s = clock.now()
+        figures = decision_figures.of_choice(
+            started_s,
+            ongoing,
+            state,
+            view,
+            history.excluded_server_ids,
+            self._services.entry_by_server_id.get(view.server_id),
+            hedge=hedge,
+        )
+        view.observe_sent()
         result: Result | None = None
         try:
             result = await self._send(ongoing, state, view, history, started_s)
+        except asyncio.CancelledError:
+            self._log.write(
+                "attempt",
+                id=ongoing.request_id,
+                server=view.server_id,
+                ms=round((clock.now() - started_s) * 1000, 1),
+                unknown=_CANCELLED_REASON,
+                **figures,
+            )
+            raise
         finally:
             view.observe_ended()
             ended_s = clock.now()
             if result is not None:
                 self._observe_result(ongoing, state, view, result, ended_s)
-                self._log_attempt(ongoing, view, result, ended_s - started_s)
+                self._log_attempt(ongoing, view, result, ended_s - started_s, figures)
         return result
 
     async def _send(
@@ -466,7 +497,12 @@
             view.observe_result(now=now, failed=True)
 
     def _log_attempt(
-        self, ongoing: call.Call, view: server_view.ServerView, result: Result, latency_s: float
+        self,
+        ongoing: call.Call,
+        view: server_view.ServerView,
+        result: Result,
+        latency_s: float,
+        figures: dict[str, Any],
     ) -> None:
         values: dict[str, Any] = {
             "id": ongoing.request_id,
@@ -486,6 +522,9 @@
             values["work_ms"] = round(result.service_time_s * 1000, 1)
         else:
             values["refused" if isinstance(result, frames.Refusal) else "unknown"] = result.reason
+        values |= figures
+        if isinstance(result, frames.Refusal) and result.retry_after_s:
+            values["retry_after_s"] = round(result.retry_after_s, 3)
         self._log.write("attempt", **values)
 
 
