--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -273,6 +273,26 @@
     made.stop()
 
 
+def make_settings(index, ip, server_address, *, memory_bytes=100_000_000, service="s"):
+    """Returns the settings of a node."""
+    return settings.MeshSettings(
+        node=f"node-{index}",
+        ip=ip,
+        zone="z",
+        service=service,
+        server_address=server_address,
+        edge_address=f"{ip}:17000",
+        ready_address=f"{ip}:17001",
+        peer_port=Fleet.PEER_PORT,
+        metrics_address=f"{ip}:17002",
+        store_address="",
+        memory_bytes=memory_bytes,
+        max_connections=100,
+        grace_s=GRACE_S,
+        retry_budget=settings.RetryBudgetSettings(ratio=0.2, slack=60, window_s=10),
+    )
+
+
 class Fleet:
     """Nodes on loopback addresses, each with a backend server.
 
@@ -301,29 +321,15 @@
         """Returns a loopback address that depends on the process id, to avoid clashes."""
         return f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{index + 1}"
 
-    async def add(self, index):
+    async def add(self, index, *, service="s"):
         """Starts a backend server and its node; returns the IP address of both."""
         ip = self.ip(index)
         backend = Backend(f"server-{index}")
         await backend.start(f"{ip}:0")
         self.backends.append(backend)
-        self.publish(f"servers/{index}", make_entry(backend.server_id, backend.address))
-        own = settings.MeshSettings(
-            node=f"node-{index}",
-            ip=ip,
-            zone="z",
-            service="s",
-            server_address=backend.address,
-            edge_address=f"{ip}:17000",
-            ready_address=f"{ip}:17001",
-            peer_port=self.PEER_PORT,
-            metrics_address=f"{ip}:17002",
-            store_address="",
-            memory_bytes=100_000_000,
-            max_connections=100,
-            grace_s=GRACE_S,
-            retry_budget=settings.RetryBudgetSettings(ratio=0.2, slack=60, window_s=10),
-        )
+        entry = make_entry(backend.server_id, backend.address, service=service)
+        self.publish(f"servers/{index}", entry)
+        own = make_settings(index, ip, backend.address, service=service)
         made = node.Node(
             own_settings=own,
             names=NAMES,
