Bound all bodies of a node by one budget, and state their size in offers

An offer states the size of the body, which is reserved on acceptance. Bodies that do not fit are refused with memory-full, which proves that they do not run.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -411,6 +411,7 @@
             request_class=frame.request_class,
             expects_slowdown=frame.expects_slowdown,
             service_time_s=frame.service_time_s,
+            body_bytes=len(ongoing.body),
         )
         try:
             result = await target.offer(offer, min(_OFFER_TIMEOUT_S, frame.remaining_s))
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -206,6 +206,9 @@
     """Asks whether the receiver would accept a request, before its body is sent.
 
     The attributes have the same meaning as those of `Request`.
+
+    Attributes:
+        body_bytes: size of the body, 0 if the sender does not state it.
     """
 
     call_id: int
@@ -217,6 +220,7 @@
     request_class: str
     expects_slowdown: bool
     service_time_s: float = 0.05
+    body_bytes: int = 0
 
 
 class Acceptance(msgspec.Struct, array_like=True, frozen=True, tag=14):
--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -193,7 +193,7 @@
         """Appends a part of the body."""
         if len(self._body) + len(data) > self._limits().body_bytes:
             raise errors.BadMessageError(413, "body exceeds the size limit")
-        if not self._budget.reserve(len(data)):
+        if not self._budget.reserve(len(data), body_bytes=len(self._body) + len(data)):
             raise errors.BadMessageError(503, "request buffer is full: the body cannot be stored")
         self._meter.observe_body(len(data))
         self._body += data
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -28,7 +28,7 @@
         handler: answers a request.
         limits: returns the current limits.
         max_connections: largest number of open connections; more are closed on accept.
-        max_buffer_bytes: total size of the request bodies that are buffered at a time.
+        budget: limit on the bodies that the process holds.
     """
 
     def __init__(
@@ -38,13 +38,13 @@
         handler: edge_connection.Handler,
         limits: Callable[[], limits_module.Limits],
         max_connections: int,
-        max_buffer_bytes: int,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self._address = address
         self._handler = handler
         self._limits = limits
         self._max_connections = max_connections
-        self._budget = buffer_budget.BufferBudget(max_bytes=max_buffer_bytes)
+        self._budget = budget
         self._connections: set[edge_connection.EdgeConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -167,7 +167,8 @@
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body."""
         self._check_body_size(len(data))
-        if not self._budget.reserve(len(data)):
+        size = self._reserved_bytes + len(data)
+        if not self._budget.reserve(len(data), body_bytes=size, answer=True):
             raise errors.BadMessageError(
                 502, f"answers exceed the buffer of {self._budget.max_bytes} bytes"
             )
--- a/packages/mesh/src/laburnumford_mesh/http/server_pool.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_pool.py
@@ -16,7 +16,7 @@
         id_field: name of the header field that matches an answer to its request, or None.
         connect_timeout_s: timeout for opening a connection, in seconds.
         limits: limits on the bytes of one exchange.
-        buffer_bytes: total size of the answer bodies that all connections buffer at a time.
+        budget: limit on the bodies that the process holds.
     """
 
     def __init__(
@@ -26,11 +26,11 @@
         id_field: bytes | None,
         connect_timeout_s: float,
         limits: read_limits.ReadLimits,
-        buffer_bytes: int,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self._address = address
         self._limits = limits
-        self._budget = buffer_budget.BufferBudget(max_bytes=buffer_bytes)
+        self._budget = budget
         self._id_field = id_field
         self._connect_timeout_s = connect_timeout_s
         self._idle: collections.deque[server_connection.ServerConnection] = collections.deque()
--- a/packages/mesh/src/laburnumford_mesh/http/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from laburnumford_mesh import limits
-from laburnumford_mesh.http import answer, edge_server
+from laburnumford_mesh.http import answer, buffer_budget, edge_server
 
 SMALL_LIMITS = limits.Limits(
     header_bytes=2048, body_bytes=100_000, header_timeout_s=0.5, idle_timeout_s=30.0
@@ -51,7 +51,7 @@
             handler=self.handle,
             limits=lambda: self.limits,
             max_connections=10,
-            max_buffer_bytes=150_000,
+            budget=buffer_budget.BufferBudget(max_bytes=150_000),
         )
 
     async def handle(self, received):
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_cut_answers.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_cut_answers.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import read_limits, server_pool
+from laburnumford_mesh.http import buffer_budget, read_limits, server_pool
 from laburnumford_node.http import errors
 
 INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
@@ -62,7 +62,7 @@
             id_field=b"x-id",
             connect_timeout_s=1.0,
             limits=read_limits.ReadLimits(),
-            buffer_bytes=100_000,
+            budget=buffer_budget.BufferBudget(max_bytes=100_000),
         )
         try:
             async with asyncio.timeout(5):
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_endless_answers.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_endless_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import read_limits, server_pool
+from laburnumford_mesh.http import buffer_budget, read_limits, server_pool
 from laburnumford_mesh.http.tests import flooding_server
 from laburnumford_node.http import errors
 
@@ -40,7 +40,7 @@
         id_field=b"x-id",
         connect_timeout_s=1.0,
         limits=LIMITS,
-        buffer_bytes=buffer_bytes,
+        budget=buffer_budget.BufferBudget(max_bytes=buffer_bytes),
     )
 
 
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_server_connection.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import read_limits, server_connection, server_pool
+from laburnumford_mesh.http import buffer_budget, read_limits, server_connection, server_pool
 from laburnumford_node.http import errors
 
 ID_FIELD = b"x-id"
@@ -77,7 +77,7 @@
         id_field=ID_FIELD,
         connect_timeout_s=1.0,
         limits=read_limits.ReadLimits(),
-        buffer_bytes=1_000_000,
+        budget=buffer_budget.BufferBudget(max_bytes=1_000_000),
     )
     yield made
     made.close()
@@ -102,7 +102,7 @@
         id_field=ID_FIELD,
         connect_timeout_s=1.0,
         limits=read_limits.ReadLimits(),
-        buffer_bytes=1000,
+        budget=buffer_budget.BufferBudget(max_bytes=1000),
     )
     with pytest.raises(errors.ConnectError):
         await made.acquire(10.0)
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -20,7 +20,7 @@
     wire_names,
 )
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import read_limits, server_connection, server_pool
+from laburnumford_mesh.http import buffer_budget, read_limits, server_connection, server_pool
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
@@ -78,7 +78,7 @@
         names: header field names.
         log: structured log.
         limits: limits on the bytes of one exchange with the server.
-        buffer_bytes: total size of the answers that are received at a time.
+        budget: limit on the bodies that the process holds.
         on_load_change: called when other nodes should get a new load report.
 
     Attributes:
@@ -97,10 +97,11 @@
         names: wire_names.WireNames,
         log: event_log.EventLog,
         limits: read_limits.ReadLimits,
-        buffer_bytes: int,
+        budget: buffer_budget.BufferBudget,
         on_load_change: Callable[[], None],
     ) -> None:
         self._address = address
+        self._budget = budget
         self._names = names
         self._log = log
         self._on_load_change = on_load_change
@@ -109,7 +110,7 @@
             id_field=names.request_id,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             limits=limits,
-            buffer_bytes=buffer_bytes,
+            budget=budget,
         )
         self._queue = work_queue.WorkQueue(service_time_s=self._expected_service_time_s)
         self._slot_grant_by_id: dict[int, asyncio.Future[None]] = {}
@@ -245,6 +246,8 @@
         except asyncio.CancelledError:
             if request.idempotent:
                 exchange.cancel()
+            else:
+                self._count_body_until_end(exchange, len(request.body))
             raise
 
     def sweep(self) -> None:
@@ -260,6 +263,11 @@
 
     # internals
 
+    def _count_body_until_end(self, exchange: asyncio.Task[Any], body_bytes: int) -> None:
+        """Counts the body of an exchange that goes on after its caller has released the body."""
+        self._budget.take(body_bytes)
+        exchange.add_done_callback(lambda _: self._budget.release(body_bytes))
+
     async def _answer_offer(self, offer: frames.Offer) -> frames.Acceptance | frames.Refusal:
         started_s = clock.now()
         try:
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -22,6 +22,7 @@
     frames,
     gossip,
     local_server,
+    memory_watch,
     metrics,
     peer_listener,
     peers,
@@ -36,7 +37,7 @@
 )
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import edge_server, request
+from laburnumford_mesh.http import buffer_budget, edge_server, request
 from laburnumford_policy.placement import spread
 
 _LOG = logging.getLogger("laburnumford.mesh")
@@ -77,13 +78,6 @@
 _SUSPECT_BLOCK_S = 0.3
 """Seconds; by then the stream has been replaced or answers again."""
 
-_MAX_BODY_MEMORY_SHARE = 0.25
-"""Share of the memory for buffered request bodies; two nodes and socket buffers hold each body."""
-
-_MAX_ANSWER_MEMORY_SHARE = 0.2
-"""Share of the memory for bodies of answers while they are received; each is copied once into the
-frame or answer that passes it on."""
-
 _MAX_RECORDS_BYTES = 64 * 1024 * 1024
 """Bytes of the published values that another node sends: 10,000 entries of 500 bytes take 5 MB."""
 
@@ -125,6 +119,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = metrics.Metrics()
         self._log = log
+        self._budget = buffer_budget.of_process(own_settings.memory_bytes)
+        self._memory_watch = memory_watch.MemoryWatch(budget=self._budget, log=self._log)
         self._directory = directory.Directory(
             decode=decode, log=self._log, on_change=self._apply_directory
         )
@@ -146,7 +142,7 @@
             names=names,
             log=self._log,
             limits=own_settings.read_limits,
-            buffer_bytes=int(own_settings.memory_bytes * _MAX_ANSWER_MEMORY_SHARE),
+            budget=self._budget,
             on_load_change=self._send_reports,
         )
         self._peers = peers.Peers(
@@ -183,6 +179,8 @@
             incarnation=self._incarnation,
             run=self._run_for_peer,
             answer_pull=self._answer_pull,
+            refuse=self._local.refusal,
+            budget=self._budget,
         )
         self._gossip = gossip.Gossip(on_frame=self._handle_datagram)
         self._edge_server = self._make_server(own_settings.edge_address, self._edge.handle)
@@ -277,7 +275,7 @@
             handler=handler,
             limits=self._limits,
             max_connections=own.max_connections,
-            max_buffer_bytes=int(own.memory_bytes * _MAX_BODY_MEMORY_SHARE),
+            budget=self._budget,
         )
 
     def _limits(self) -> limits_module.Limits:
@@ -311,6 +309,7 @@
                 "server_connections_opened_total": self._local.opened_connection_count,
                 "reader": float(self._rank == 0),
             }
+            | self._memory_watch.gauges()
         )
         return answers.Answer(
             status=200,
@@ -452,6 +451,8 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self._local.sweep()
+            self._listener.sweep()
+            self._memory_watch.sweep()
             self._directory.sweep()
 
 
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -5,7 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from laburnumford_mesh import clock, frames, link
+from laburnumford_mesh import clock, frames, link, offered_bodies
+from laburnumford_mesh.http import buffer_budget
 from laburnumford_policy.placement import report_targets
 
 _CALL_RETENTION_S = 4.0
@@ -22,6 +23,11 @@
 _MAX_PENDING_CONNECTIONS = 512
 """Backlog of the listening socket; all nodes of a fleet may reconnect at the same moment."""
 
+_MEMORY_REASON = "memory-full"
+_MEMORY_RETRY_AFTER_S = 0.5
+"""Seconds until a sender may offer the body again. A body of 30 MB takes 2.4 s on the fastest
+links of 100 Mbit/s, so that with a few bodies in transit one of them ends about this often."""
+
 Runner = Callable[[frames.Request | frames.Offer], Awaitable[Any]]
 """Runs a request, or decides on an offer, and returns the frame that answers it."""
 
@@ -53,6 +59,9 @@
         incarnation: random number of this start of the node.
         run: runs a request or decides on an offer.
         answer_pull: returns the answer to a pull after a revision.
+        refuse: returns the refusal of a call, given its id, the reason and the time in seconds
+            after which the sender may try again.
+        budget: limit on the bodies that the process holds.
     """
 
     def __init__(
@@ -62,11 +71,16 @@
         incarnation: int,
         run: Runner,
         answer_pull: Callable[[int], frames.PullResponse],
+        refuse: Callable[[int, str, float], frames.Refusal],
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self._address = address
         self._incarnation = incarnation
         self._run = run
         self._answer_pull = answer_pull
+        self._refuse = refuse
+        self._budget = budget
+        self._offered = offered_bodies.OfferedBodies(budget=budget)
         self._server: asyncio.Server | None = None
         self._links: set[link.Link] = set()
         self._link_by_incarnation: dict[int, link.Link] = {}
@@ -118,6 +132,11 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self._offered.close()
+
+    def sweep(self) -> None:
+        """Drops expired calls and their answers."""
+        self._expire_calls()
 
     def _accept(self) -> link.Link:
         accepted = link.Link(
@@ -163,6 +182,10 @@
             return
         served = _ServedCall(clock.now() + request.remaining_s + _CALL_RETENTION_S)
         self._served_by_key[key] = served
+        if not self._reserve(key, request):
+            served.answer = self._refuse(request.call_id, _MEMORY_REASON, _MEMORY_RETRY_AFTER_S)
+            self._send(key, served.answer)
+            return
         self._in_flight_count += 1
         served.task = asyncio.get_running_loop().create_task(self._run_call(key, served, request))
 
@@ -173,11 +196,32 @@
             served.answer = await self._run(request)
             self._send(key, served.answer)
         finally:
+            self._release(key, request, served.answer)
             self._in_flight_count -= 1
             served.task = None
             served.expires_s = max(served.expires_s, clock.now() + _CALL_RETENTION_S)
             served.body_bytes = len(getattr(served.answer, "body", b""))
             self._retained_body_bytes += served.body_bytes
+            self._budget.take(served.body_bytes)
+
+    def _reserve(self, key: tuple[int, int], request: frames.Request | frames.Offer) -> bool:
+        """Reserves memory for the body of a request or offer; returns False if it does not fit."""
+        incarnation, _ = key
+        if isinstance(request, frames.Offer):
+            return not request.body_bytes or self._offered.add(incarnation, request.body_bytes)
+        size = len(request.body)
+        if request.offer_accepted and self._offered.use(incarnation, size):
+            return True
+        return self._budget.reserve(size)
+
+    def _release(
+        self, key: tuple[int, int], request: frames.Request | frames.Offer, answer: Any
+    ) -> None:
+        """Releases the memory of a request that has ended or an offer that is not accepted."""
+        if isinstance(request, frames.Request):
+            self._budget.release(len(request.body))
+        elif not isinstance(answer, frames.Acceptance):
+            self._offered.cancel(key[0], request.body_bytes)
 
     def _send(self, key: tuple[int, int], answer: Any) -> None:
         target_link = self._link_by_incarnation.get(key[0])
@@ -194,6 +238,7 @@
                 continue
             if now > served.expires_s or self._retained_body_bytes > _MAX_RETAINED_BODY_BYTES:
                 self._retained_body_bytes -= served.body_bytes
+                self._budget.release(served.body_bytes)
                 served.body_bytes = 0
                 served.answer = None
             if now > served.expires_s:
--- a/packages/mesh/src/laburnumford_mesh/tests/node_process.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/node_process.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import sys
+from typing import Any
 
 from laburnumford_mesh import event_log, node
 from laburnumford_mesh.tests import conftest
@@ -27,7 +28,7 @@
 
     def __init__(self, ip, server_address, memory_bytes):
         self._arguments = (ip, server_address, str(memory_bytes))
-        self._process = None
+        self._process: Any = None
 
     async def start(self):
         """Starts the process."""
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -8,7 +8,7 @@
 import pytest
 
 from laburnumford_mesh import frames, local_server
-from laburnumford_mesh.http import read_limits
+from laburnumford_mesh.http import buffer_budget, read_limits
 from laburnumford_mesh.http.tests import flooding_server
 from laburnumford_mesh.tests import conftest, waiting
 
@@ -21,7 +21,7 @@
         names=conftest.NAMES,
         log=log,
         limits=read_limits.ReadLimits(framing_bytes=8192, body_bytes=100_000),
-        buffer_bytes=150_000,
+        budget=buffer_budget.BufferBudget(max_bytes=150_000),
         on_load_change=lambda: None,
     )
     made.apply(server_id="a", slots=conftest.SLOTS, health_path="/health")
@@ -272,7 +272,7 @@
             names=conftest.NAMES,
             log=log,
             limits=read_limits.ReadLimits(body_bytes=100_000),
-            buffer_bytes=150_000,
+            budget=buffer_budget.BufferBudget(max_bytes=150_000),
             on_load_change=lambda: None,
         )
         flooded.apply(server_id="a", slots=1, health_path="")
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from laburnumford_mesh import errors, frames, peer, peer_listener
+from laburnumford_mesh import errors, frames, offered_bodies, peer, peer_listener
+from laburnumford_mesh.http import buffer_budget
 from laburnumford_mesh.tests import waiting
 from laburnumford_testkit.faultproxy import faults, proxy
 
@@ -26,6 +27,8 @@
         self.gate.set()
         self.port = 0
         self.listener: Any = None
+        self.offer_answer: Any = None
+        self.budget = buffer_budget.BufferBudget(max_bytes=1_000_000)
 
     async def start(self, incarnation=7, port=0):
         """Starts to listen."""
@@ -34,6 +37,8 @@
             incarnation=incarnation,
             run=self.run,
             answer_pull=lambda revision: frames.PullResponse(revision, 0.0, False, b""),
+            refuse=lambda call_id, reason, wait_s: frames.Refusal(call_id, reason, wait_s, LOAD),
+            budget=self.budget,
         )
         await self.listener.start()
         self.port = self.listener.port
@@ -41,6 +46,8 @@
     async def run(self, request):
         """Counts the run and answers it once the gate is open."""
         self.runs.append(request.call_id)
+        if isinstance(request, frames.Offer):
+            return self.offer_answer(request.call_id, LOAD)
         await self.gate.wait()
         return frames.Answer(request.call_id, 200, b"OK", [], b"x", 0.0, LOAD)
 
@@ -281,3 +288,65 @@
     call.cancel()
     await waiting.until(lambda: receiver.listener.in_flight_count == 0)
     await sender.close()
+
+
+def _offer(body_bytes):
+    return frames.Offer(next(CALL_IDS), "a", 5.0, 5.0, False, 0, "k", False, body_bytes=body_bytes)
+
+
+async def test_offer_of_a_body_that_does_not_fit_is_refused_without_a_run(receiver):
+    """Guards against an accepted body for which the node has no memory (issue 31)."""
+    sender = Sender(receiver.port)
+    size = receiver.budget.max_bytes * 2 // 3
+    receiver.offer_answer = frames.Acceptance
+    assert isinstance(await sender.peer.offer(_offer(size), 5.0), frames.Acceptance)
+    refusal = await sender.peer.offer(_offer(size), 5.0)
+    assert isinstance(refusal, frames.Refusal)
+    assert refusal.reason == "memory-full"
+    assert refusal.retry_after_s > 0
+    assert len(receiver.runs) == 1
+    await sender.close()
+
+
+async def test_memory_of_an_unused_acceptance_is_released(receiver, monkeypatch):
+    """Guards against offers of callers that left, which hold memory until the node restarts."""
+    monkeypatch.setattr(offered_bodies, "_LIFETIME_S", 0.01)
+    sender = Sender(receiver.port)
+    receiver.offer_answer = frames.Acceptance
+    await sender.peer.offer(_offer(500_000), 5.0)
+    await waiting.until(lambda: not receiver.budget.reserved_bytes)
+    await sender.close()
+
+
+async def test_refused_offer_holds_no_memory(receiver):
+    """Guards against memory that stays reserved for a body that is not sent."""
+    sender = Sender(receiver.port)
+    receiver.offer_answer = lambda call_id, load: frames.Refusal(call_id, "overloaded", 0.1, load)
+    await sender.peer.offer(_offer(500_000), 5.0)
+    assert not receiver.budget.reserved_bytes
+    await sender.close()
+
+
+async def test_body_without_an_offer_that_does_not_fit_is_refused_without_a_run(receiver):
+    """Guards against senders that state no size, or whose acceptance has expired."""
+    sender = Sender(receiver.port)
+    refusal = await sender.call(body=bytes(receiver.budget.max_bytes + 1))
+    assert refusal.reason == "memory-full"
+    assert not receiver.runs
+    await sender.close()
+
+
+async def test_offered_body_is_counted_once_and_released_after_its_run(receiver):
+    """Guards against a body that needs its memory twice, and against memory that is not freed."""
+    sender = Sender(receiver.port)
+    size = receiver.budget.max_bytes * 2 // 3
+    receiver.offer_answer = frames.Acceptance
+    await sender.peer.offer(_offer(size), 5.0)
+    receiver.gate.clear()
+    call = sender.call(body=bytes(size), offer_accepted=True)
+    await waiting.until(lambda: len(receiver.runs) == 2)
+    assert receiver.budget.reserved_bytes == size
+    receiver.gate.set()
+    assert (await call).status == 200
+    assert receiver.budget.reserved_bytes == len(b"x")
+    await sender.close()
--- a/packages/mesh/src/laburnumford_mesh/tests/test_repeated_refusals.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_repeated_refusals.py
@@ -7,7 +7,7 @@
 import pytest
 
 from laburnumford_mesh import frames, local_server
-from laburnumford_mesh.http import read_limits
+from laburnumford_mesh.http import buffer_budget, read_limits
 from laburnumford_mesh.tests import conftest
 
 
@@ -83,7 +83,7 @@
         names=conftest.NAMES,
         log=log,
         limits=read_limits.ReadLimits(),
-        buffer_bytes=100_000,
+        budget=buffer_budget.BufferBudget(max_bytes=100_000),
         on_load_change=lambda: None,
     )
     made.apply(server_id="a", slots=1, health_path="")
