Send large bodies between nodes in chunks that the receiver grants

Change: bodies of more than 64 KB are announced (LargeRequest, LargeAnswer), granted once memory is reserved (BodyGrant) and sent in chunks of 32 KB in turn, as fast as the transport takes them. Bodies on a broken stream are dropped and sent again from their start; a body that stalls for 3 s is given up and its call never runs. Answers that do not fit wait at the node that has them. Hello says whether a node takes chunks; others get one frame, which is counted while it is received. Receiver and Sender of the tests moved to call_ends.py; the transport of test_arbitrary_bytes takes limits of its write buffer.

--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -12,6 +12,11 @@
 """Fits a body of the largest published size and its header fields."""
 
 
+CHUNK_BYTES = 32 * 1024
+"""Largest part of a body in one frame; takes 52 ms on a link of 5 Mbit/s, for which frames behind
+it wait."""
+
+
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
     """Load and speed of the backend server adjacent to a node.
 
@@ -54,10 +59,12 @@
     Attributes:
         incarnation: random number of this start of the node.
         stopping: whether the node takes no more requests.
+        takes_chunks: whether the node knows the frames for bodies in chunks.
     """
 
     incarnation: int
     stopping: bool
+    takes_chunks: bool = False
 
 
 class Request(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -230,6 +237,55 @@
     load: LoadReport
 
 
+class LargeRequest(msgspec.Struct, array_like=True, frozen=True, tag=15):
+    """Announces a request whose body is sent in chunks once the receiver grants it.
+
+    Attributes:
+        request: the request with an empty body.
+        body_bytes: size of the body.
+    """
+
+    request: Request
+    body_bytes: int
+
+
+class LargeAnswer(msgspec.Struct, array_like=True, frozen=True, tag=16):
+    """Announces an answer whose body is sent in chunks once the receiver grants it.
+
+    Attributes:
+        answer: the answer with an empty body.
+        body_bytes: size of the body.
+    """
+
+    answer: Answer
+    body_bytes: int
+
+
+class BodyGrant(msgspec.Struct, array_like=True, frozen=True, tag=17):
+    """Tells that the receiver has memory for the announced body of a call and waits for it."""
+
+    call_id: int
+
+
+class BodyChunk(msgspec.Struct, array_like=True, frozen=True, tag=18):
+    """Carries a part of the body of a request or of its answer.
+
+    Attributes:
+        offset: position of the part in the body.
+        data: the part, at most `CHUNK_BYTES`.
+    """
+
+    call_id: int
+    offset: int
+    data: memoryview
+
+
+class BodyReceived(msgspec.Struct, array_like=True, frozen=True, tag=19):
+    """Tells that the body of an answer was received completely and need not be retained."""
+
+    call_id: int
+
+
 Frame = (
     Hello
     | Request
@@ -246,6 +302,11 @@
     | GoAway
     | Offer
     | Acceptance
+    | LargeRequest
+    | LargeAnswer
+    | BodyGrant
+    | BodyChunk
+    | BodyReceived
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/mesh/src/laburnumford_mesh/http/buffer_budget.py
+++ b/packages/mesh/src/laburnumford_mesh/http/buffer_budget.py
@@ -55,7 +55,7 @@
                 the bytes are the complete body.
             answer: whether the body is that of an answer.
         """
-        if not self._fits(size, body_bytes, answer=answer):
+        if not self.has_space(size, body_bytes=body_bytes, answer=answer):
             self.refusal_count += 1
             return False
         self.reserved_bytes += size
@@ -69,7 +69,8 @@
         """Releases reserved bytes."""
         self.reserved_bytes -= size
 
-    def _fits(self, size: int, body_bytes: int, *, answer: bool) -> bool:
+    def has_space(self, size: int, *, body_bytes: int = 0, answer: bool = False) -> bool:
+        """Returns whether `reserve` would reserve the bytes."""
         if max(size, body_bytes) <= SMALL_BODY_BYTES:
             limit = self.max_bytes
         elif answer:
--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -1,11 +1,14 @@
 """Stream of frames to or from another node."""
 
 import asyncio
+import contextlib
 import logging
+import socket
 from collections.abc import Callable
 from typing import Any, cast
 
-from laburnumford_mesh import clock, errors, frames
+from laburnumford_mesh import clock, errors, frames, outgoing_bodies
+from laburnumford_mesh.http import buffer_budget
 from laburnumford_node.http import sockets
 
 _LOG = logging.getLogger("laburnumford.mesh")
@@ -18,6 +21,15 @@
 """Fits a hello. Until then the other end need not be a node, and nothing larger is buffered."""
 
 
+_WRITE_BUFFER_BYTES = 32 * 1024
+"""Bytes in the transport above which chunks of bodies wait, and bytes in the kernel that are not
+sent yet. A ping or a small request is queued behind both: 0.1 s on a link of 5 Mbit/s."""
+
+_MAX_UNCOUNTED_FRAME_BYTES = 2 * buffer_budget.SMALL_BODY_BYTES
+"""Fits a small body and its header fields. Larger frames, of nodes that send no chunks, and large
+sets of published values are counted while they are received."""
+
+
 class Link(asyncio.Protocol):
     """Sends frames and splits received bytes into frames.
 
@@ -25,8 +37,11 @@
         hello: first frame to send.
         on_frame: called for each frame.
         on_lost: called once when the stream has closed.
+        budget: limit on the bodies that the process holds.
 
     Attributes:
+        bodies: bodies that are sent in chunks.
+        peer_takes_chunks: whether the other node takes bodies in chunks.
         lost: whether the stream has closed.
         last_received_s: time of `clock.now` when the last bytes were received.
         peer_ip: IP address of the other node.
@@ -39,6 +54,7 @@
         hello: frames.Hello,
         on_frame: Callable[["Link", Any], None],
         on_lost: Callable[["Link"], None],
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self._hello = hello
         self._on_frame = on_frame
@@ -46,16 +62,22 @@
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._max_frame_bytes = _MAX_FIRST_FRAME_BYTES
+        self._budget = budget
+        self._reserved_bytes = 0
+        self.bodies = outgoing_bodies.OutgoingBodies(write=self._write)
         self.lost = False
         self.last_received_s = clock.now()
         self.estimated_delivery_s = clock.now()
         """Time by which all frames sent so far have arrived, even on a slow network link."""
         self.peer_ip = ""
         self.peer_incarnation: int | None = None
+        self.peer_takes_chunks = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sends the hello."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        _limit_unsent_bytes(transport.get_extra_info("socket"))
         self.peer_ip = sockets.peer_ip(transport)
         self.send(self._hello)
 
@@ -73,10 +95,13 @@
                 return
             end = start + prefix_size + size
             if len(buffer) < end:
+                if not self._reserve_frame(size):
+                    return
                 break
             # A copy, because a memory view prevents the buffer from being resized.
             encoded = bytes(buffer[start + prefix_size : end])
             start = end
+            self._release_frame()
             try:
                 frame = frames.decode(encoded)
             except errors.DecodeError as error:
@@ -99,19 +124,68 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Reports that the stream has closed."""
         self.lost = True
+        self._buffer.clear()
+        self._release_frame()
+        self.bodies.clear()
         self._on_lost(self)
 
+    def pause_writing(self) -> None:
+        """Makes chunks of bodies wait while the other node or the network is slow."""
+        self.bodies.pause()
+
+    def resume_writing(self) -> None:
+        """Continues to send chunks of bodies."""
+        self.bodies.resume()
+
     def send(self, frame: Any) -> bool:
         """Sends a frame; returns False if the stream is closed."""
         if self.lost or self._transport is None or self._transport.is_closing():
             return False
         encoded = frames.encode_for_stream(frame)
+        self._expect_delivery(len(encoded))
+        self._transport.write(encoded)
+        return True
+
+    def send_body(
+        self, call_id: int, body: bytes, on_sent: Callable[[], None] = lambda: None
+    ) -> None:
+        """Sends a body in chunks; `on_sent` is called when the last one is written."""
+        # The complete body counts at once: when its chunks are written depends on the network.
+        self._expect_delivery(len(body))
+        self.bodies.add(call_id, body, on_sent)
+
+    def observe_hello(self, frame: frames.Hello) -> None:
+        """Stores what the other node says about itself."""
+        self.peer_incarnation = frame.incarnation
+        self.peer_takes_chunks = frame.takes_chunks
+
+    def _write(self, frame: frames.BodyChunk) -> bool:
+        if self.lost or self._transport is None or self._transport.is_closing():
+            return False
+        self._transport.write(frames.encode_for_stream(frame))
+        return True
+
+    def _expect_delivery(self, size: int) -> None:
         self.estimated_delivery_s = (
-            max(self.estimated_delivery_s, clock.now()) + len(encoded) / _ASSUMED_BYTES_PER_S
+            max(self.estimated_delivery_s, clock.now()) + size / _ASSUMED_BYTES_PER_S
         )
-        self._transport.write(encoded)
+
+    def _reserve_frame(self, size: int) -> bool:
+        """Reserves memory for a large frame; closes the stream if it does not fit."""
+        if self._reserved_bytes or size <= _MAX_UNCOUNTED_FRAME_BYTES:
+            return True
+        if not self._budget.reserve(size):
+            _LOG.warning("link to %s: no memory for %d bytes; it is closed", self.peer_ip, size)
+            self.abort()
+            return False
+        self._reserved_bytes = size
         return True
 
+    def _release_frame(self) -> None:
+        if self._reserved_bytes:
+            self._budget.release(self._reserved_bytes)
+            self._reserved_bytes = 0
+
     def abort(self) -> None:
         """Closes the stream at once and drops unsent bytes."""
         if self._transport is not None:
@@ -121,3 +195,14 @@
         """Closes the stream after the bytes written so far are sent."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _limit_unsent_bytes(connected: Any) -> None:
+    """Bounds the bytes that the kernel takes before it can send them.
+
+    Without the bound, the kernel buffers megabytes of bodies in front of a ping.
+    """
+    if connected is not None and hasattr(socket, "TCP_NOTSENT_LOWAT"):
+        with contextlib.suppress(OSError):
+            # The stream may have been reset.
+            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _WRITE_BUFFER_BYTES)
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -151,6 +151,7 @@
             port=own_settings.peer_port,
             incarnation=self._incarnation,
             generator=self._generator,
+            budget=self._budget,
             on_pull_response=self._handle_pull_response,
             on_go_away=self._handle_go_away,
             on_suspect=self._handle_suspect,
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -5,7 +5,10 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from laburnumford_mesh import clock, errors, frames, link
+import msgspec
+
+from laburnumford_mesh import clock, errors, frames, incoming_answers, link
+from laburnumford_mesh.http import buffer_budget
 from laburnumford_node.http import errors as http_errors
 
 _CONNECT_TIMEOUT_S = 0.6
@@ -41,15 +44,25 @@
 class _PendingCall:
     """A call without an answer."""
 
-    __slots__ = ("frame", "future", "sent_to_incarnation")
+    __slots__ = ("announced", "frame", "future", "sent_to_incarnation")
 
     def __init__(
         self, frame: frames.Request | frames.Offer, future: asyncio.Future[_Reply]
     ) -> None:
         self.frame = frame
         self.future = future
+        self.announced = False
+        """Whether the call was announced and its body is sent in chunks."""
         self.sent_to_incarnation: int | None = None
-        """Incarnation of the node that the call was sent to, None if it is unsent."""
+        """Incarnation of the node that the complete call was sent to, None if it is unsent."""
+
+    @property
+    def has_large_body(self) -> bool:
+        """Whether the body of the call is sent in chunks."""
+        return (
+            isinstance(self.frame, frames.Request)
+            and len(self.frame.body) > buffer_budget.SMALL_BODY_BYTES
+        )
 
 
 class Peer:
@@ -61,6 +74,7 @@
     Args:
         address: ``ip:port`` of the node.
         incarnation: random number of this start of the own node.
+        budget: limit on the bodies that the process holds.
         on_pull_response: called with the IP address of the node and its answer to a pull.
         on_go_away: called with the IP address of the node when it announces its stop.
         on_suspect: called with the IP address of the node when it does not answer a ping in time.
@@ -71,12 +85,15 @@
         *,
         address: str,
         incarnation: int,
+        budget: buffer_budget.BufferBudget,
         on_pull_response: Callable[[str, frames.PullResponse], None],
         on_go_away: Callable[[str], None],
         on_suspect: Callable[[str], None],
     ) -> None:
         self.address = address
         self._incarnation = incarnation
+        self._budget = budget
+        self._answers = incoming_answers.IncomingAnswers(budget=budget)
         self._on_pull_response = on_pull_response
         self._on_go_away = on_go_away
         self._on_suspect = on_suspect
@@ -132,13 +149,16 @@
         except TimeoutError as error:
             self._send_cancel(pending)
             if pending.sent_to_incarnation is None:
-                raise errors.RefusedError("peer-unreachable") from error
+                raise errors.RefusedError(_unsent_reason(pending)) from error
             raise errors.UnknownOutcomeError("peer-timeout") from error
         except asyncio.CancelledError:
             self._send_cancel(pending)
             raise
         finally:
             self._pending_by_id.pop(frame.call_id, None)
+            self._answers.drop(frame.call_id)
+            if pending.announced and self._link is not None:
+                self._link.bodies.remove(frame.call_id)
 
     def pull(self, revision: int) -> None:
         """Asks the node for the published values that changed after a revision."""
@@ -172,6 +192,7 @@
         now = clock.now()
         late = now - self._last_check_s > _MAX_CHECK_GAP_S
         self._last_check_s = now
+        self._answers.retry()
         current = self._link
         if current is None:
             if self._pending_by_id:
@@ -221,7 +242,7 @@
 
         def handle_frame(source_link: link.Link, frame: Any) -> None:
             if isinstance(frame, frames.Hello) and source_link.peer_incarnation is None:
-                source_link.peer_incarnation = frame.incarnation
+                source_link.observe_hello(frame)
                 if frame.stopping:
                     self._on_go_away(source_link.peer_ip)
                 if not hello_received.done():
@@ -239,9 +260,10 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, connected = await loop.create_connection(
                     lambda: link.Link(
-                        hello=frames.Hello(self._incarnation, False),
+                        hello=frames.Hello(self._incarnation, False, takes_chunks=True),
                         on_frame=handle_frame,
                         on_lost=handle_lost,
+                        budget=self._budget,
                     ),
                     host,
                     int(port),
@@ -280,16 +302,40 @@
     def _refuse_unsent(self) -> None:
         for pending in list(self._pending_by_id.values()):
             if pending.sent_to_incarnation is None:
-                self._fail(pending, errors.RefusedError("peer-unreachable"))
+                self._fail(pending, errors.RefusedError(_unsent_reason(pending)))
 
     def _send(self, pending: _PendingCall) -> None:
         if self._link is None or self._link.peer_incarnation is None:
             return
-        if self._link.send(pending.frame):
+        if pending.has_large_body and self._link.peer_takes_chunks:
+            self._announce(self._link, pending)
+        elif self._link.send(pending.frame):
             pending.sent_to_incarnation = self._link.peer_incarnation
 
+    @staticmethod
+    def _announce(target: link.Link, pending: _PendingCall) -> None:
+        request = cast(frames.Request, pending.frame)
+        head = msgspec.structs.replace(request, body=b"")
+        if target.send(frames.LargeRequest(head, len(request.body))):
+            pending.announced = True
+
+    @staticmethod
+    def _send_body(target: link.Link, pending: _PendingCall) -> None:
+        """Sends the body of an announced call.
+
+        The other node runs the call only with its complete body, so until the last chunk is
+        written it is certain that the call has not run.
+        """
+
+        def mark_sent() -> None:
+            pending.sent_to_incarnation = target.peer_incarnation
+
+        request = cast(frames.Request, pending.frame)
+        target.send_body(request.call_id, request.body, mark_sent)
+
     def _send_cancel(self, pending: _PendingCall) -> None:
-        if pending.sent_to_incarnation is not None and self._link is not None:
+        sent = pending.announced or pending.sent_to_incarnation is not None
+        if sent and self._link is not None:
             self._link.send(frames.Cancel(pending.frame.call_id))
 
     def _handle_lost(self, ended: link.Link) -> None:
@@ -299,15 +345,44 @@
 
     def _handle_frame(self, source_link: link.Link, frame: Any) -> None:
         if isinstance(frame, _Reply):
+            self._finish(source_link, frame)
+        elif isinstance(frame, frames.LargeAnswer):
+            self._handle_large_answer(source_link, frame)
+        elif isinstance(frame, frames.BodyChunk):
+            answer = self._answers.add(source_link, frame)
+            if answer is not None:
+                source_link.send(frames.BodyReceived(frame.call_id))
+                self._finish(source_link, answer)
+        elif isinstance(frame, frames.BodyGrant):
             pending = self._pending_by_id.get(frame.call_id)
-            if pending is not None and not pending.future.done():
-                pending.future.set_result(frame)
+            if pending is not None and pending.has_large_body:
+                self._send_body(source_link, pending)
         elif isinstance(frame, frames.PullResponse):
             self._on_pull_response(source_link.peer_ip, frame)
         elif isinstance(frame, frames.GoAway):
             self._on_go_away(source_link.peer_ip)
 
+    def _handle_large_answer(self, source_link: link.Link, frame: frames.LargeAnswer) -> None:
+        call_id = frame.answer.call_id
+        source_link.bodies.remove(call_id)
+        if call_id in self._pending_by_id:
+            self._answers.announce(source_link, frame)
+        else:
+            source_link.send(frames.BodyReceived(call_id))
+
+    def _finish(self, source_link: link.Link, reply: _Reply) -> None:
+        """Ends a call; the rest of its body is not needed, since the other node has decided."""
+        source_link.bodies.remove(reply.call_id)
+        pending = self._pending_by_id.get(reply.call_id)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(reply)
+
     @staticmethod
     def _fail(pending: _PendingCall, error: errors.AttemptError) -> None:
         if not pending.future.done():
             pending.future.set_exception(error)
+
+
+def _unsent_reason(pending: _PendingCall) -> str:
+    """Returns the reason for the refusal of a call that was not sent completely."""
+    return "body-unsent" if pending.announced else "peer-unreachable"
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -5,7 +5,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from laburnumford_mesh import clock, frames, link, offered_bodies
+import msgspec
+
+from laburnumford_mesh import clock, frames, incoming_requests, link, offered_bodies
 from laburnumford_mesh.http import buffer_budget
 from laburnumford_policy.placement import report_targets
 
@@ -23,11 +25,12 @@
 _MAX_PENDING_CONNECTIONS = 512
 """Backlog of the listening socket; all nodes of a fleet may reconnect at the same moment."""
 
-_MEMORY_REASON = "memory-full"
 _MEMORY_RETRY_AFTER_S = 0.5
 """Seconds until a sender may offer the body again. A body of 30 MB takes 2.4 s on the fastest
 links of 100 Mbit/s, so that with a few bodies in transit one of them ends about this often."""
 
+Key = incoming_requests.Key
+
 Runner = Callable[[frames.Request | frames.Offer], Awaitable[Any]]
 """Runs a request, or decides on an offer, and returns the frame that answers it."""
 
@@ -38,17 +41,24 @@
     Attributes:
         answer: frame that answers the call; None before the end or after it was dropped.
         body_bytes: size of the body of the retained answer.
+        is_received: whether the sender has the answer, which is then not retained.
         expires_s: time of `clock.now` after which the call is dropped.
         task: task that runs the call, None after its end.
     """
 
-    __slots__ = ("answer", "body_bytes", "expires_s", "task")
+    __slots__ = ("answer", "body_bytes", "expires_s", "is_received", "task")
 
     def __init__(self, expires_s: float) -> None:
         self.task: asyncio.Task[None] | None = None
         self.answer: Any = None
         self.expires_s = expires_s
         self.body_bytes = 0
+        self.is_received = False
+
+    @property
+    def has_large_answer(self) -> bool:
+        """Whether the body of the answer is sent in chunks and its receipt is confirmed."""
+        return self.body_bytes > buffer_budget.SMALL_BODY_BYTES
 
 
 class PeerListener:
@@ -81,10 +91,16 @@
         self._refuse = refuse
         self._budget = budget
         self._offered = offered_bodies.OfferedBodies(budget=budget)
+        self._incoming = incoming_requests.IncomingRequests(
+            budget=budget,
+            offered=self._offered,
+            on_complete=self._serve_complete,
+            on_refused=self._refuse_incoming,
+        )
         self._server: asyncio.Server | None = None
         self._links: set[link.Link] = set()
         self._link_by_incarnation: dict[int, link.Link] = {}
-        self._served_by_key: dict[tuple[int, int], _ServedCall] = {}
+        self._served_by_key: dict[Key, _ServedCall] = {}
         self._report_targets = report_targets.ReportTargets()
         self._retained_body_bytes = 0
         self._last_sweep_s = 0.0
@@ -135,27 +151,30 @@
         self._offered.close()
 
     def sweep(self) -> None:
-        """Drops expired calls and their answers."""
+        """Drops expired calls, their answers and bodies that have stalled."""
+        self._incoming.sweep()
         self._expire_calls()
 
     def _accept(self) -> link.Link:
         accepted = link.Link(
-            hello=frames.Hello(self._incarnation, self.stopping),
+            hello=frames.Hello(self._incarnation, self.stopping, takes_chunks=True),
             on_frame=self._handle_frame,
             on_lost=self._handle_lost,
+            budget=self._budget,
         )
         self._links.add(accepted)
         return accepted
 
     def _handle_lost(self, ended: link.Link) -> None:
         self._links.discard(ended)
+        self._incoming.handle_lost(ended)
         incarnation = ended.peer_incarnation
         if incarnation is not None and self._link_by_incarnation.get(incarnation) is ended:
             del self._link_by_incarnation[incarnation]
 
     def _handle_frame(self, source_link: link.Link, frame: Any) -> None:
         if isinstance(frame, frames.Hello):
-            source_link.peer_incarnation = frame.incarnation
+            source_link.observe_hello(frame)
             self._link_by_incarnation[frame.incarnation] = source_link
         elif isinstance(frame, frames.Ping):
             source_link.send(frames.Pong())
@@ -168,29 +187,83 @@
         elif isinstance(frame, frames.Request):
             self._report_targets.observe_call(source_link.peer_ip, source_link.last_received_s)
             self._serve((source_link.peer_incarnation, frame.call_id), frame)
+        else:
+            self._handle_body_frame(source_link, source_link.peer_incarnation, frame)
+
+    def _handle_body_frame(self, source_link: link.Link, incarnation: int, frame: Any) -> None:
+        if isinstance(frame, frames.LargeRequest):
+            self._report_targets.observe_call(source_link.peer_ip, source_link.last_received_s)
+            self._announce((incarnation, frame.request.call_id), source_link, frame)
+        elif isinstance(frame, frames.BodyChunk):
+            self._incoming.add((incarnation, frame.call_id), source_link, frame)
+        elif isinstance(frame, frames.BodyGrant):
+            served = self._served_by_key.get((incarnation, frame.call_id))
+            if served is not None and served.has_large_answer:
+                source_link.send_body(frame.call_id, served.answer.body)
+        elif isinstance(frame, frames.BodyReceived):
+            self._drop_received((incarnation, frame.call_id))
         elif isinstance(frame, frames.Cancel):
-            served = self._served_by_key.get((source_link.peer_incarnation, frame.call_id))
-            if served is not None and served.task is not None:
-                served.task.cancel()
+            self._cancel((incarnation, frame.call_id), source_link)
+
+    def _cancel(self, key: Key, source_link: link.Link) -> None:
+        self._incoming.cancel(key)
+        source_link.bodies.remove(key[1])
+        served = self._served_by_key.get(key)
+        if served is None:
+            return
+        if served.task is not None:
+            served.task.cancel()
+        self._drop_received(key)
+
+    def _drop_received(self, key: Key) -> None:
+        """Drops the answer of a call that its sender has or no longer needs."""
+        served = self._served_by_key.get(key)
+        if served is not None:
+            served.is_received = True
+            self._drop_answer(served)
+
+    def _announce(self, key: Key, source_link: link.Link, frame: frames.LargeRequest) -> None:
+        """Receives the body of an announced call, or repeats the answer of a known one."""
+        served = self._served_by_key.get(key)
+        if served is None:
+            self._incoming.announce(key, source_link, frame)
+        elif served.answer is not None:
+            self._send(key, served.answer)
+
+    def _serve_complete(self, key: Key, request: frames.Request) -> None:
+        self._run_once(key, request, reserved=True)
+
+    def _refuse_incoming(
+        self, key: Key, request: frames.Request | frames.Offer, reason: str
+    ) -> None:
+        """Refuses a call that has not started; it is retained, so that it never runs."""
+        refused = _ServedCall(clock.now() + request.remaining_s + _CALL_RETENTION_S)
+        refused.answer = self._refuse(request.call_id, reason, _MEMORY_RETRY_AFTER_S)
+        self._served_by_key[key] = refused
+        self._send(key, refused.answer)
 
-    def _serve(self, key: tuple[int, int], request: frames.Request | frames.Offer) -> None:
+    def _serve(self, key: Key, request: frames.Request | frames.Offer) -> None:
+        self._run_once(key, request, reserved=False)
+
+    def _run_once(
+        self, key: Key, request: frames.Request | frames.Offer, *, reserved: bool
+    ) -> None:
         self._expire_calls()
         served = self._served_by_key.get(key)
         if served is not None:
             if served.answer is not None:
                 self._send(key, served.answer)
             return
+        if not reserved and not self._reserve(key, request):
+            self._refuse_incoming(key, request, incoming_requests.MEMORY_REASON)
+            return
         served = _ServedCall(clock.now() + request.remaining_s + _CALL_RETENTION_S)
         self._served_by_key[key] = served
-        if not self._reserve(key, request):
-            served.answer = self._refuse(request.call_id, _MEMORY_REASON, _MEMORY_RETRY_AFTER_S)
-            self._send(key, served.answer)
-            return
         self._in_flight_count += 1
         served.task = asyncio.get_running_loop().create_task(self._run_call(key, served, request))
 
     async def _run_call(
-        self, key: tuple[int, int], served: _ServedCall, request: frames.Request | frames.Offer
+        self, key: Key, served: _ServedCall, request: frames.Request | frames.Offer
     ) -> None:
         try:
             served.answer = await self._run(request)
@@ -200,11 +273,28 @@
             self._in_flight_count -= 1
             served.task = None
             served.expires_s = max(served.expires_s, clock.now() + _CALL_RETENTION_S)
-            served.body_bytes = len(getattr(served.answer, "body", b""))
+            self._retain(served)
+
+    def _retain(self, served: _ServedCall) -> None:
+        """Counts the body of an answer, which is held until it is received or expires."""
+        if served.is_received:
+            served.answer = None
+            return
+        served.body_bytes = len(getattr(served.answer, "body", b""))
+        self._budget.take(served.body_bytes)
+        if not served.has_large_answer:
             self._retained_body_bytes += served.body_bytes
-            self._budget.take(served.body_bytes)
 
-    def _reserve(self, key: tuple[int, int], request: frames.Request | frames.Offer) -> bool:
+    def _drop_answer(self, served: _ServedCall) -> None:
+        if served.task is not None:
+            return
+        self._budget.release(served.body_bytes)
+        if not served.has_large_answer:
+            self._retained_body_bytes -= served.body_bytes
+        served.body_bytes = 0
+        served.answer = None
+
+    def _reserve(self, key: Key, request: frames.Request | frames.Offer) -> bool:
         """Reserves memory for the body of a request or offer; returns False if it does not fit."""
         incarnation, _ = key
         if isinstance(request, frames.Offer):
@@ -214,18 +304,22 @@
             return True
         return self._budget.reserve(size)
 
-    def _release(
-        self, key: tuple[int, int], request: frames.Request | frames.Offer, answer: Any
-    ) -> None:
+    def _release(self, key: Key, request: frames.Request | frames.Offer, answer: Any) -> None:
         """Releases the memory of a request that has ended or an offer that is not accepted."""
         if isinstance(request, frames.Request):
             self._budget.release(len(request.body))
         elif not isinstance(answer, frames.Acceptance):
             self._offered.cancel(key[0], request.body_bytes)
 
-    def _send(self, key: tuple[int, int], answer: Any) -> None:
+    def _send(self, key: Key, answer: Any) -> None:
         target_link = self._link_by_incarnation.get(key[0])
-        if target_link is not None:
+        if target_link is None:
+            return
+        size = len(getattr(answer, "body", b""))
+        if size > buffer_budget.SMALL_BODY_BYTES and target_link.peer_takes_chunks:
+            head = msgspec.structs.replace(answer, body=b"")
+            target_link.send(frames.LargeAnswer(head, size))
+        else:
             target_link.send(answer)
 
     def _expire_calls(self) -> None:
@@ -236,10 +330,8 @@
         for key, served in list(self._served_by_key.items()):
             if served.task is not None:
                 continue
-            if now > served.expires_s or self._retained_body_bytes > _MAX_RETAINED_BODY_BYTES:
-                self._retained_body_bytes -= served.body_bytes
-                self._budget.release(served.body_bytes)
-                served.body_bytes = 0
-                served.answer = None
+            crowded = self._retained_body_bytes > _MAX_RETAINED_BODY_BYTES
+            if now > served.expires_s or (crowded and not served.has_large_answer):
+                self._drop_answer(served)
             if now > served.expires_s:
                 del self._served_by_key[key]
--- a/packages/mesh/src/laburnumford_mesh/peers.py
+++ b/packages/mesh/src/laburnumford_mesh/peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 from laburnumford_mesh import clock, frames, peer
+from laburnumford_mesh.http import buffer_budget
 from laburnumford_policy.placement import spread
 
 _UNLISTED_PEER_TTL_S = 5.0
@@ -21,6 +22,7 @@
         port: port on which all nodes listen for peers.
         incarnation: random number of this start of the node.
         generator: source of random numbers.
+        budget: limit on the bodies that the process holds.
         on_pull_response: called with the IP address of a node and its answer to a pull.
         on_go_away: called with the IP address of a node that announces its stop.
         on_suspect: called with the IP address of a node that does not answer a ping in time.
@@ -34,6 +36,7 @@
         port: int,
         incarnation: int,
         generator: random.Random,
+        budget: buffer_budget.BufferBudget,
         on_pull_response: Callable[[str, frames.PullResponse], None],
         on_go_away: Callable[[str], None],
         on_suspect: Callable[[str], None],
@@ -43,6 +46,7 @@
         self._port = port
         self._incarnation = incarnation
         self._generator = generator
+        self._budget = budget
         self._on_pull_response = on_pull_response
         self._on_go_away = on_go_away
         self._on_suspect = on_suspect
@@ -80,6 +84,7 @@
             found = peer.Peer(
                 address=f"{ip}:{self._port}",
                 incarnation=self._incarnation,
+                budget=self._budget,
                 on_pull_response=self._on_pull_response,
                 on_go_away=self._on_go_away,
                 on_suspect=self._on_suspect,
--- a/packages/mesh/src/laburnumford_mesh/tests/test_arbitrary_bytes.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_arbitrary_bytes.py
@@ -52,6 +52,9 @@
         """Records bytes."""
         self.written += data
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        """Does nothing; writing is never paused."""
+
     def is_closing(self):
         """Returns whether the connection was ended."""
         return self.ended
@@ -125,7 +128,10 @@
 def test_link_raises_for_no_bytes(chunks):
     """Guards against a stream that closes on a frame without saying why."""
     received = link.Link(
-        hello=frames.Hello(1, False), on_frame=lambda *_: None, on_lost=lambda _: None
+        hello=frames.Hello(1, False),
+        on_frame=lambda *_: None,
+        on_lost=lambda _: None,
+        budget=buffer_budget.BufferBudget(max_bytes=10_000),
     )
     transport = FakeTransport()
     received.connection_made(transport)
@@ -171,7 +177,10 @@
 def test_nested_element_of_a_message_is_logged(caplog):
     """Guards against a property-based test that never reaches the decoder of frames."""
     received = link.Link(
-        hello=frames.Hello(1, False), on_frame=lambda *_: None, on_lost=lambda _: None
+        hello=frames.Hello(1, False),
+        on_frame=lambda *_: None,
+        on_lost=lambda _: None,
+        budget=buffer_budget.BufferBudget(max_bytes=10_000),
     )
     transport = FakeTransport()
     received.connection_made(transport)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_link.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_link.py
@@ -7,6 +7,7 @@
 import pytest
 
 from laburnumford_mesh import frames, link
+from laburnumford_mesh.http import buffer_budget
 from laburnumford_mesh.tests import waiting
 
 
@@ -21,6 +22,7 @@
             hello=frames.Hello(1, False),
             on_frame=lambda _, frame: received.append(frame),
             on_lost=lambda _: None,
+            budget=buffer_budget.BufferBudget(max_bytes=2_000_000),
         )
         links.append(made)
         return made
@@ -108,6 +110,7 @@
             hello=frames.Hello(1, False),
             on_frame=lambda *_: None,
             on_lost=lambda _: lost.set(),
+            budget=buffer_budget.BufferBudget(max_bytes=2_000_000),
         ),
         sock=connecting,
     )
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -1,112 +1,26 @@
 """Tests of calls between nodes over streams that break."""
 
 import asyncio
-import itertools
 import math
 import random
 import time
-from typing import Any
 
 import pytest
 
-from laburnumford_mesh import errors, frames, offered_bodies, peer, peer_listener
-from laburnumford_mesh.http import buffer_budget
-from laburnumford_mesh.tests import waiting
+from laburnumford_mesh import errors, frames, offered_bodies, peer
+from laburnumford_mesh.tests import call_ends, waiting
 from laburnumford_testkit.faultproxy import faults, proxy
 
-LOAD = frames.LoadReport("a", 1, 0, 0, 4, 1.0, 0.0, 0.0)
-CALL_IDS = itertools.count(1)
-
-
-class Receiver:
-    """A peer listener that records the ids of the calls that it runs."""
-
-    def __init__(self):
-        self.runs = []
-        self.gate = asyncio.Event()
-        self.gate.set()
-        self.port = 0
-        self.listener: Any = None
-        self.offer_answer: Any = None
-        self.budget = buffer_budget.BufferBudget(max_bytes=1_000_000)
-
-    async def start(self, incarnation=7, port=0):
-        """Starts to listen."""
-        self.listener = peer_listener.PeerListener(
-            address=f"127.0.0.1:{port}",
-            incarnation=incarnation,
-            run=self.run,
-            answer_pull=lambda revision: frames.PullResponse(revision, 0.0, False, b""),
-            refuse=lambda call_id, reason, wait_s: frames.Refusal(call_id, reason, wait_s, LOAD),
-            budget=self.budget,
-        )
-        await self.listener.start()
-        self.port = self.listener.port
-
-    async def run(self, request):
-        """Counts the run and answers it once the gate is open."""
-        self.runs.append(request.call_id)
-        if isinstance(request, frames.Offer):
-            return self.offer_answer(request.call_id, LOAD)
-        await self.gate.wait()
-        return frames.Answer(request.call_id, 200, b"OK", [], b"x", 0.0, LOAD)
-
 
 @pytest.fixture
 async def receiver():
     """Returns a started receiver."""
-    made = Receiver()
+    made = call_ends.Receiver()
     await made.start()
     yield made
     await made.listener.close()
 
 
-class Sender:
-    """A peer and the loop that calls its `check`."""
-
-    def __init__(self, port, check_interval_s=peer.CHECK_INTERVAL_S):
-        self.suspected: list[str] = []
-        self._check_interval_s = check_interval_s
-        self.peer = peer.Peer(
-            address=f"127.0.0.1:{port}",
-            incarnation=1,
-            on_pull_response=lambda *_: None,
-            on_go_away=lambda _: None,
-            on_suspect=self.suspected.append,
-        )
-        self._task = asyncio.create_task(self._check())
-
-    async def _check(self):
-        while True:
-            await asyncio.sleep(self._check_interval_s)
-            self.peer.check()
-
-    def call(self, timeout_s=5.0, **changes):
-        """Starts a call and returns its task."""
-        values: dict[str, Any] = {
-            "call_id": next(CALL_IDS),
-            "server_id": "a",
-            "method": b"GET",
-            "target": b"/",
-            "fields": [],
-            "body": b"",
-            "remaining_s": timeout_s,
-            "soft_remaining_s": timeout_s,
-            "idempotent": False,
-            "priority": 0,
-            "request_class": "k",
-            "expects_slowdown": False,
-            "offer_accepted": False,
-        }
-        frame = frames.Request(**(values | changes))
-        return asyncio.create_task(self.peer.call(frame, timeout_s))
-
-    async def close(self):
-        """Stops the checks and closes the stream."""
-        self._task.cancel()
-        await self.peer.close()
-
-
 def _block_event_loop(seconds):
     """Blocks the event loop like a pause of the process."""
     time.sleep(seconds)
@@ -114,14 +28,14 @@
 
 async def test_call_is_answered(receiver):
     """Guards against a peer that does not connect or does not match answers to calls."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     assert (await sender.call()).body == b"x"
     await sender.close()
 
 
 async def test_call_to_an_unusable_address_is_refused():
     """Guards against a call that waits for its deadline because the connecting task has ended."""
-    sender = Sender(70000)
+    sender = call_ends.Sender(70000)
     async with asyncio.timeout(2):
         with pytest.raises(errors.RefusedError):
             await sender.call()
@@ -135,7 +49,7 @@
         writer.close()
 
     server = await asyncio.start_server(close, "127.0.0.1", 0)
-    sender = Sender(server.sockets[0].getsockname()[1])
+    sender = call_ends.Sender(server.sockets[0].getsockname()[1])
     async with asyncio.timeout(0.4):
         with pytest.raises(errors.RefusedError):
             await sender.call()
@@ -145,7 +59,7 @@
 
 async def test_call_runs_once_when_its_stream_breaks(receiver):
     """Guards against a non-idempotent call that runs twice or is lost when its stream is reset."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     receiver.gate.clear()
     calls = [sender.call() for _ in range(5)]
     await waiting.until(lambda: len(receiver.runs) == 5)
@@ -168,7 +82,7 @@
     """
     fault_proxy = proxy.FaultProxy(target=f"127.0.0.1:{receiver.port}", generator=random.Random(1))
     await fault_proxy.start()
-    sender = Sender(int(fault_proxy.address.rpartition(":")[2]), check_interval_s)
+    sender = call_ends.Sender(int(fault_proxy.address.rpartition(":")[2]), check_interval_s)
     receiver.gate.clear()
     call = sender.call()
     await waiting.until(lambda: receiver.runs)
@@ -194,7 +108,7 @@
     await fault_proxy.start()
     slow_link = faults.DirectionFaults(bytes_per_s=500_000.0)
     fault_proxy.set_faults(faults.Faults(to_target=slow_link))
-    sender = Sender(int(fault_proxy.address.rpartition(":")[2]))
+    sender = call_ends.Sender(int(fault_proxy.address.rpartition(":")[2]))
     assert (await sender.call(body=b"x" * 500_000)).status == 200
     assert sender.suspected == []
     assert len(receiver.runs) == 1
@@ -207,7 +121,7 @@
 
     The answers to its pings are in its socket buffers and have not been read yet.
     """
-    sender = Sender(receiver.port, math.inf)
+    sender = call_ends.Sender(receiver.port, math.inf)
     receiver.gate.clear()
     call = sender.call()
     await waiting.until(lambda: receiver.runs)
@@ -228,7 +142,7 @@
     In a benchmark day with gaps of some tenths of a second between calls, every second check
     took the idle stream for a silent one.
     """
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     for _ in range(6):
         receiver.gate.clear()
         call = sender.call()
@@ -242,7 +156,7 @@
 
 async def test_call_to_restarted_node_has_unknown_outcome(receiver):
     """Guards against repeating a call on a restarted node, which does not know that it ran before."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     receiver.gate.clear()
     call = sender.call()
     await waiting.until(lambda: receiver.runs)
@@ -257,7 +171,7 @@
 
 async def test_call_to_unreachable_node_is_refused():
     """Guards against an unknown outcome of a call that was never sent."""
-    sender = Sender(1)
+    sender = call_ends.Sender(1)
     with pytest.raises(errors.RefusedError):
         await sender.call(timeout_s=1.0)
     await sender.close()
@@ -269,7 +183,7 @@
     In the benchmark csl-dispatch-grown with a third of the nodes partitioned off, requests spent
     their time on connections that did not open.
     """
-    sender = Sender(1)
+    sender = call_ends.Sender(1)
     with pytest.raises(errors.RefusedError):
         await sender.call()
     started_s = asyncio.get_running_loop().time()
@@ -281,7 +195,7 @@
 
 async def test_cancelled_call_is_cancelled_on_the_peer(receiver):
     """Guards against running a request whose caller has disconnected."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     receiver.gate.clear()
     call = sender.call()
     await waiting.until(lambda: receiver.runs)
@@ -291,12 +205,14 @@
 
 
 def _offer(body_bytes):
-    return frames.Offer(next(CALL_IDS), "a", 5.0, 5.0, False, 0, "k", False, body_bytes=body_bytes)
+    return frames.Offer(
+        next(call_ends.CALL_IDS), "a", 5.0, 5.0, False, 0, "k", False, body_bytes=body_bytes
+    )
 
 
 async def test_offer_of_a_body_that_does_not_fit_is_refused_without_a_run(receiver):
     """Guards against an accepted body for which the node has no memory (issue 31)."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     size = receiver.budget.max_bytes * 2 // 3
     receiver.offer_answer = frames.Acceptance
     assert isinstance(await sender.peer.offer(_offer(size), 5.0), frames.Acceptance)
@@ -311,7 +227,7 @@
 async def test_memory_of_an_unused_acceptance_is_released(receiver, monkeypatch):
     """Guards against offers of callers that left, which hold memory until the node restarts."""
     monkeypatch.setattr(offered_bodies, "_LIFETIME_S", 0.01)
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     receiver.offer_answer = frames.Acceptance
     await sender.peer.offer(_offer(500_000), 5.0)
     await waiting.until(lambda: not receiver.budget.reserved_bytes)
@@ -320,7 +236,7 @@
 
 async def test_refused_offer_holds_no_memory(receiver):
     """Guards against memory that stays reserved for a body that is not sent."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     receiver.offer_answer = lambda call_id, load: frames.Refusal(call_id, "overloaded", 0.1, load)
     await sender.peer.offer(_offer(500_000), 5.0)
     assert not receiver.budget.reserved_bytes
@@ -329,7 +245,7 @@
 
 async def test_body_without_an_offer_that_does_not_fit_is_refused_without_a_run(receiver):
     """Guards against senders that state no size, or whose acceptance has expired."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     refusal = await sender.call(body=bytes(receiver.budget.max_bytes + 1))
     assert refusal.reason == "memory-full"
     assert not receiver.runs
@@ -338,7 +254,7 @@
 
 async def test_offered_body_is_counted_once_and_released_after_its_run(receiver):
     """Guards against a body that needs its memory twice, and against memory that is not freed."""
-    sender = Sender(receiver.port)
+    sender = call_ends.Sender(receiver.port)
     size = receiver.budget.max_bytes * 2 // 3
     receiver.offer_answer = frames.Acceptance
     await sender.peer.offer(_offer(size), 5.0)
