Pass a budget to the pool in the tests of early answers

Cause: the pool takes the shared budget of the process since large bodies are sent in chunks. Change: the test makes one. Measured: the tests of packages/mesh/http pass.

--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_early_answers.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_early_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from laburnumford_mesh.http import read_limits, server_pool
+from laburnumford_mesh.http import buffer_budget, read_limits, server_pool
 from laburnumford_node.http import errors, fields
 
 ID_FIELD = b"x-id"
@@ -38,7 +38,7 @@
                 id_field=ID_FIELD,
                 connect_timeout_s=1.0,
                 limits=read_limits.ReadLimits(),
-                buffer_bytes=1_000_000,
+                budget=buffer_budget.BufferBudget(max_bytes=1_000_000),
             )
             stack.callback(pool.close)
             connection = await pool.acquire(float("inf"))
