Let part of the requests leave a full zone without the price of their bytes

Cause: a request waits in its zone for up to 0.3 s before it goes to another one, also when the zone is short of servers, and every node follows the newest report of single servers. Change: placement/zone_overflow.py keeps, per service, a share of requests that may leave the zone at no price.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -329,8 +329,10 @@
         view: server_view.ServerView,
         history: _AttemptHistory,
     ) -> Result:
-        view.observe_sent()
         started_s = clock.now()
+        state.placement.observe_sent(started_s, view, ongoing.route_name, len(ongoing.body))
+        if view.other_zone:
+            self._metrics.count("requests_out_of_zone_total", ongoing.service)
         result: Result | None = None
         try:
             result = await self._send(ongoing, state, view, history, started_s)
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -31,6 +31,8 @@
             says nothing about a limit.
         rate_limit_per_s: requests per second that the server takes, None without a limit.
         tokens: requests that may be started at once under this limit, less those that wait.
+        capacity: work that the server completes while requests wait, in seconds of service time
+            at normal speed per second; 0 if it has not been measured.
     """
 
     server_id: str
@@ -46,6 +48,7 @@
     limit_known: bool = False
     rate_limit_per_s: float | None = None
     tokens: float = 0.0
+    capacity: float = 0.0
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=0):
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -24,6 +24,7 @@
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
+    completed_work,
     knee_limit,
     reservations,
     start_policy,
@@ -132,6 +133,7 @@
         self._server_id_confirmed_s = -math.inf
         self._cold_server_id = ""
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
+        self._completed_work = completed_work.CompletedWork()
         self._rate_limit = server_rate_limit.ServerRateLimit(log=log, on_change=on_load_change)
         self.running = 0
         self.shutting_down = False
@@ -219,6 +221,7 @@
             self._rate_limit.is_confirmed(self.server_id),
             self._rate_limit.bucket.rate_per_s,
             self._rate_limit.free_tokens(now, len(self._queue) + self._reservations.count(now)),
+            self._completed_work.capacity(now),
         )
 
     def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
@@ -251,6 +254,7 @@
         """Closes stale connections, and refuses or starts waiting requests."""
         self._pool.sweep()
         self._start_waiting_requests()
+        self._completed_work.observe_queue(clock.now(), contended=len(self._queue) > 0)
 
     def close(self) -> None:
         """Cancels all exchanges and closes the connections."""
@@ -492,7 +496,9 @@
         if answer.status < 300 and self._names.signature not in value_by_name:
             return frames.UnknownOutcome(request.call_id, "answer-unsigned", self.report())
         if answer.status < 300:
-            self._service_times.observe(request.request_class, service_time_s / max(slowness, 1.0))
+            work_s = service_time_s / max(slowness, 1.0)
+            self._service_times.observe(request.request_class, work_s)
+            self._completed_work.observe_completed(clock.now(), work_s)
         head = fields.forwarded(list(answer.fields))
         return frames.Answer(
             request.call_id,
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -23,6 +23,7 @@
     gossip,
     local_server,
     metrics,
+    overflow_report,
     peer_listener,
     peers,
     record,
@@ -140,6 +141,10 @@
             server_address=own_settings.server_address,
             retry_budget=own_settings.retry_budget,
             generator=self._generator,
+            link_mbps=own_settings.link_mbps,
+        )
+        self._overflow_report = overflow_report.OverflowReport(
+            learned=self._services, log=self._log
         )
         self._local = local_server.LocalServer(
             address=own_settings.server_address,
@@ -158,6 +163,7 @@
             on_pull_response=self._handle_pull_response,
             on_go_away=self._handle_go_away,
             on_suspect=self._handle_suspect,
+            on_round_trip=self._services.observe_round_trip,
         )
         dispatch = dispatcher.Dispatcher(
             local=self._local,
@@ -310,6 +316,7 @@
                 "server_fields_malformed_total": self._local.malformed_field_count,
                 "server_connections_opened_total": self._local.opened_connection_count,
                 "reader": float(self._rank == 0),
+                **self._overflow_report.gauges(),
             }
         )
         return answers.Answer(
@@ -437,6 +444,7 @@
         while True:
             if not self._stop.is_set():
                 self._gossip_digest(_GOSSIP_FANOUT)
+            self._overflow_report.check()
             await asyncio.sleep(_GOSSIP_INTERVAL_S)
 
     def _send_reports(self) -> None:
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from laburnumford_mesh import clock, errors, frames, link
+from laburnumford_mesh import clock, errors, frames, link, round_trip
 from laburnumford_node.http import errors as http_errors
 
 _CONNECT_TIMEOUT_S = 0.6
@@ -64,6 +64,8 @@
         on_pull_response: called with the IP address of the node and its answer to a pull.
         on_go_away: called with the IP address of the node when it announces its stop.
         on_suspect: called with the IP address of the node when it does not answer a ping in time.
+        on_round_trip: called with the IP address of the node and the measured round trip to it in
+            seconds.
     """
 
     def __init__(
@@ -74,12 +76,15 @@
         on_pull_response: Callable[[str, frames.PullResponse], None],
         on_go_away: Callable[[str], None],
         on_suspect: Callable[[str], None],
+        on_round_trip: Callable[[str, float], None] | None = None,
     ) -> None:
         self.address = address
         self._incarnation = incarnation
         self._on_pull_response = on_pull_response
         self._on_go_away = on_go_away
         self._on_suspect = on_suspect
+        self._on_round_trip = on_round_trip
+        self._round_trip = round_trip.RoundTrip()
         self._link: link.Link | None = None
         self._pending_by_id: dict[int, _PendingCall] = {}
         self._task: asyncio.Task[None] | None = None
@@ -185,7 +190,9 @@
         if late or self._last_ping_s <= current.last_received_s:
             if now - current.last_received_s > CHECK_INTERVAL_S / 2:
                 self._last_ping_s = now
-                current.send(frames.Ping())
+                self._send_ping(current)
+            elif self._round_trip.is_due(now):
+                self._send_ping(current)
             return
         # The ping is queued behind the bodies that were sent before it.
         unanswered_s = now - max(self._last_ping_s, current.estimated_delivery_s)
@@ -261,6 +268,8 @@
             raise
         self.unreachable = False
         self._link = connected
+        self._round_trip.reset()
+        self._send_ping(connected)
         self._send_pending(connected)
         return True
 
@@ -288,6 +297,15 @@
         if self._link.send(pending.frame):
             pending.sent_to_incarnation = self._link.peer_incarnation
 
+    def _send_ping(self, target: link.Link) -> None:
+        if target.send(frames.Ping()):
+            self._round_trip.observe_ping(clock.now())
+
+    def _observe_pong(self, ip: str) -> None:
+        seconds = self._round_trip.observe_pong(clock.now())
+        if seconds is not None and self._on_round_trip is not None:
+            self._on_round_trip(ip, seconds)
+
     def _send_cancel(self, pending: _PendingCall) -> None:
         if pending.sent_to_incarnation is not None and self._link is not None:
             self._link.send(frames.Cancel(pending.frame.call_id))
@@ -306,6 +324,8 @@
             self._on_pull_response(source_link.peer_ip, frame)
         elif isinstance(frame, frames.GoAway):
             self._on_go_away(source_link.peer_ip)
+        elif isinstance(frame, frames.Pong) and source_link is self._link:
+            self._observe_pong(source_link.peer_ip)
 
     @staticmethod
     def _fail(pending: _PendingCall, error: errors.AttemptError) -> None:
--- a/packages/mesh/src/laburnumford_mesh/peers.py
+++ b/packages/mesh/src/laburnumford_mesh/peers.py
@@ -24,6 +24,7 @@
         on_pull_response: called with the IP address of a node and its answer to a pull.
         on_go_away: called with the IP address of a node that announces its stop.
         on_suspect: called with the IP address of a node that does not answer a ping in time.
+        on_round_trip: called with the IP address of a node and the round trip to it in seconds.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         on_pull_response: Callable[[str, frames.PullResponse], None],
         on_go_away: Callable[[str], None],
         on_suspect: Callable[[str], None],
+        on_round_trip: Callable[[str, float], None] | None = None,
     ) -> None:
         self._own_ip = own_ip
         self._own_zone = own_zone
@@ -46,6 +48,7 @@
         self._on_pull_response = on_pull_response
         self._on_go_away = on_go_away
         self._on_suspect = on_suspect
+        self._on_round_trip = on_round_trip
         self._peer_by_ip: dict[str, peer.Peer] = {}
         self._listed_ips: frozenset[str] = frozenset()
         self._same_zone_ips: list[str] = []
@@ -83,6 +86,7 @@
                 on_pull_response=self._on_pull_response,
                 on_go_away=self._on_go_away,
                 on_suspect=self._on_suspect,
+                on_round_trip=self._on_round_trip,
             )
             self._peer_by_ip[ip] = found
         return found
--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterable
 
 from laburnumford_mesh import clock, frames, server_entry, settings
-from laburnumford_policy.placement import placement, server_view, shared_retry_budget
+from laburnumford_policy.placement import (
+    link_budget,
+    placement,
+    server_view,
+    shared_retry_budget,
+    zone_overflow,
+)
 
 _CROSS_ZONE_ROUND_TRIP_S = 0.003
 """Network round trip between two availability zones of a region."""
@@ -13,6 +19,9 @@
 _SAME_ZONE_ROUND_TRIP_S = 0.0003
 """Network round trip within an availability zone."""
 
+_ROUND_TRIP_WEIGHT = 0.2
+"""Weight of the round trip to one node in the mean of its zone."""
+
 _MAX_LEAVING_SERVERS = 4096
 """Servers that have said that they leave, which are remembered."""
 
@@ -22,15 +31,18 @@
 
     Args:
         service_placement: chooses among the servers of the service.
+        overflow: decides which requests may leave the zone; part of the placement.
         retry_budget: limits the retries to the service.
     """
 
     def __init__(
         self,
         service_placement: placement.Placement,
+        overflow: zone_overflow.ZoneOverflow,
         retry_budget: shared_retry_budget.SharedRetryBudget,
     ) -> None:
         self.placement = service_placement
+        self.overflow = overflow
         self.retry_budget = retry_budget
 
 
@@ -42,6 +54,7 @@
         server_address: ``ip:port`` of the backend server on the same VM.
         retry_budget: settings of the retry budget of each service.
         generator: source of random numbers.
+        link_mbps: bandwidth of the network link of this VM in Mbit/s, 0 if it is unknown.
     """
 
     def __init__(
@@ -51,8 +64,11 @@
         server_address: str,
         retry_budget: settings.RetryBudgetSettings,
         generator: random.Random,
+        link_mbps: float = 0.0,
     ) -> None:
         self._zone = zone
+        self._link = link_budget.LinkBudget(link_mbps=link_mbps)
+        self._round_trip_s_by_zone: dict[str, float] = {}
         self._server_address = server_address
         self._retry_budget_settings = retry_budget
         self._generator = generator
@@ -69,8 +85,10 @@
         """Returns the state of a service, created at the first use."""
         found = self._state_by_service.get(service)
         if found is None:
+            overflow = self._make_overflow()
             found = ServiceState(
-                placement.Placement(generator=self._generator),
+                placement.Placement(generator=self._generator, overflow=overflow),
+                overflow,
                 shared_retry_budget.SharedRetryBudget(
                     ratio=self._retry_budget_settings.ratio,
                     slack=self._retry_budget_settings.slack,
@@ -81,6 +99,27 @@
             self._state_by_service[service] = found
         return found
 
+    def _make_overflow(self) -> zone_overflow.ZoneOverflow:
+        made = zone_overflow.ZoneOverflow(
+            own_zone=self._zone, generator=self._generator, link=self._link
+        )
+        for zone, seconds in self._round_trip_s_by_zone.items():
+            made.observe_round_trip(zone, seconds)
+        return made
+
+    def overflow_by_service(self) -> dict[str, zone_overflow.ZoneOverflow]:
+        """Returns for each service what decides which requests may leave the zone."""
+        return {service: state.overflow for service, state in self._state_by_service.items()}
+
+    def observe_round_trip(self, ip: str, seconds: float) -> None:
+        """Records the measured network round trip to a node."""
+        for zone in {view.zone for view in self._views_at(ip) if view.other_zone}:
+            known = self._round_trip_s_by_zone.get(zone, seconds)
+            mean_s = known + _ROUND_TRIP_WEIGHT * (seconds - known)
+            self._round_trip_s_by_zone[zone] = mean_s
+            for state in self._state_by_service.values():
+                state.overflow.observe_round_trip(zone, mean_s)
+
     def apply(self, entries: Iterable[server_entry.ServerEntry], node_count: int) -> None:
         """Replaces the servers that may receive requests, and the number of nodes."""
         self._entries = list(entries)
@@ -143,6 +182,7 @@
                 limit_known=report.limit_known,
                 rate_limit_per_s=report.rate_limit_per_s,
                 tokens=report.tokens,
+                capacity=report.capacity,
             )
 
     def block(self, ip: str, seconds: float) -> None:
@@ -179,6 +219,7 @@
             round_trip_s=round_trip_s,
             other_zone=entry.zone != self._zone,
             slots=entry.slots,
+            zone=entry.zone,
         )
         view.started_ms = entry.started_ms
         view.cold_until_s = clock.now() + entry.cold_remaining_s
--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -39,6 +39,7 @@
         max_connections: largest number of caller connections on each listener.
         grace_s: time between the signal to stop and the end of the process, in seconds.
         retry_budget: bound on retries.
+        link_mbps: bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
         read_limits: limits on what is read from the backend server for one request.
     """
 
@@ -56,6 +57,7 @@
     max_connections: int
     grace_s: float
     retry_budget: RetryBudgetSettings
+    link_mbps: float = 0.0
     read_limits: read_limits_module.ReadLimits = dataclasses.field(
         default_factory=read_limits_module.ReadLimits
     )
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -37,9 +37,11 @@
         round_trip_s: network round trip to the server in seconds.
         other_zone: whether it is in another availability zone.
         slots: requests that the server runs at the same time.
+        zone: availability zone of the server.
 
     Attributes:
         server_id: id of the server.
+        zone: availability zone of the server.
         round_trip_s: network round trip to the server in seconds.
         other_zone: whether it is in another availability zone.
         cold_until_s: time until which the server counts as cold after its start.
@@ -47,12 +49,20 @@
         outstanding: number of calls of this node that have not ended.
         started_ms: Unix time of the start of the server in milliseconds, 0 if unknown.
         rate_limit_per_s: requests per second that the server takes, None without a limit.
+        reported_s: time of the latest report, minus infinity without any.
     """
 
     def __init__(
-        self, *, server_id: str, round_trip_s: float, other_zone: bool, slots: int
+        self,
+        *,
+        server_id: str,
+        round_trip_s: float,
+        other_zone: bool,
+        slots: int,
+        zone: str = "",
     ) -> None:
         self.server_id = server_id
+        self.zone = zone
         self.round_trip_s = round_trip_s
         self.other_zone = other_zone
         self.cold_until_s = 0.0
@@ -60,6 +70,8 @@
         self.outstanding = 0
         self.started_ms = 0
         self.rate_limit_per_s: float | None = None
+        self.reported_s = -math.inf
+        self._measured_capacity = 0.0
         self._tokens = 0.0
         self._tokens_at_s = 0.0
         self._sequence = -1
@@ -100,11 +112,14 @@
         limit_known: bool = False,
         rate_limit_per_s: float | None = None,
         tokens: float = 0.0,
+        capacity: float = 0.0,
     ) -> None:
         """Applies a load report; a report older than the last one is ignored."""
         if sequence < self._sequence:
             return
         self._sequence = sequence
+        self.reported_s = now
+        self._measured_capacity = capacity
         self._load = running + waiting
         self._limit = max(concurrency_limit, 1)
         self._sent_since_report = 0
@@ -137,6 +152,30 @@
         age_s = max(now - self._failure_at_s, 0.0)
         return self._failure_share * math.exp2(-age_s / _FAILURE_HALF_LIFE_S)
 
+    @property
+    def occupied(self) -> int:
+        """Number of requests that run or wait at the server, with own ones since the report."""
+        return max(self._load + self._sent_since_report, self.outstanding)
+
+    def usable_slots(self, service_time_s: float) -> float:
+        """Returns the requests that run at the same time, less under a rate limit."""
+        if self.rate_limit_per_s is None:
+            return self._limit
+        return min(self.rate_limit_per_s * service_time_s, self._limit)
+
+    def capacity(self, now: float, service_time_s: float) -> float:
+        """Returns the work that the server completes, in seconds at normal speed per second.
+
+        Until the node of the server has measured it, the concurrency limit and the mean slowness
+        stand for it.
+        """
+        capacity = self._measured_capacity
+        if not capacity:
+            capacity = self._limit / (self._mean_slowdown * self.baseline(now))
+        if self.rate_limit_per_s is not None:
+            capacity = min(capacity, self.rate_limit_per_s * service_time_s)
+        return capacity * (1.0 - self.failure_share(now))
+
     def is_slow(self, now: float) -> bool:
         """Returns whether the server is estimated to be in a slowdown."""
         return self._speed(now).slow
@@ -186,5 +225,4 @@
 
     def has_free_slot(self, now: float) -> bool:
         """Returns whether a request sent now would probably start without waiting."""
-        running = max(self._load + self._sent_since_report, self.outstanding)
-        return running < self._limit and self._limit_wait_s(now) <= 0
+        return self.occupied < self._limit and self._limit_wait_s(now) <= 0
