Count servers without a recent report as idle in the own zone

Cause: a node that sends few requests knew one slow server of six and took its zone for full. Change: only reported load counts for the own zone; other zones are extrapolated from what is known.

--- a/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
@@ -230,6 +230,18 @@
     assert fleet.run({"a": 1.75})[-1] == pytest.approx(0.05)
 
 
+def test_one_known_slow_server_does_not_make_the_zone_short():
+    """Guards against a share that follows a single server.
+
+    Load: a node that sends few requests knows only one of six servers, which has a queue.
+    """
+    fleet = _Fleet({"a": 6, "b": 6})
+    known = fleet.views_by_zone["a"][:1]
+    fleet.views_by_zone["a"][:], others = known, fleet.views_by_zone["a"][1:]
+    fleet.decision.apply([*known, *others, *fleet.views_by_zone["b"]])
+    assert set(fleet.run({"a": 2.0, "b": 0.5})) == {0.0}
+
+
 def test_state_is_dropped_without_requests():
     """Guards against a share that was decided for another load.
 
--- a/packages/policy/src/laburnumford_policy/placement/zone_load.py
+++ b/packages/policy/src/laburnumford_policy/placement/zone_load.py
@@ -16,12 +16,14 @@
 
     Attributes:
         capacity: work that they complete, in seconds of service time at normal speed per second.
-        occupancy: running and waiting requests divided by slots, above 1 if requests wait; None
-            without a recent report.
+        occupancy: running and waiting requests divided by slots, above 1 if requests wait; servers
+            without a recent report count as the others. None without a recent report.
+        known_share: share of the slots that belongs to servers with a recent report.
     """
 
     capacity: float
     occupancy: float | None
+    known_share: float
 
 
 def summarize(
@@ -29,22 +31,24 @@
 ) -> ZoneLoad:
     """Returns the load of the servers of one zone.
 
-    Servers without a recent report are assumed to be as busy as the others.
-
     Args:
         views: servers of the zone.
         now: current time.
         service_time_s: mean service time at normal speed in seconds.
     """
-    capacity = known_slots = 0.0
+    capacity = slots = known_slots = 0.0
     known_occupied = 0
     for view in views:
         if now < view.blocked_until_s:
             continue
         capacity += view.capacity(now, service_time_s)
+        view_slots = view.usable_slots(service_time_s)
+        slots += view_slots
         if now - view.reported_s <= _REPORT_VALIDITY_S:
-            known_slots += view.usable_slots(service_time_s)
+            known_slots += view_slots
             known_occupied += view.occupied
     return ZoneLoad(
-        capacity=capacity, occupancy=known_occupied / known_slots if known_slots else None
+        capacity=capacity,
+        occupancy=known_occupied / known_slots if known_slots else None,
+        known_share=known_slots / slots if slots else 0.0,
     )
--- a/packages/policy/src/laburnumford_policy/placement/zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/zone_overflow.py
@@ -184,8 +184,13 @@
             if load.occupancy is None:
                 self.occupancy_by_zone.pop(zone, None)
                 continue
-            known = self.occupancy_by_zone.get(zone, load.occupancy)
-            self.occupancy_by_zone[zone] = known + weight * (load.occupancy - known)
+            occupancy = load.occupancy
+            if zone == self._own_zone:
+                # Servers without a recent report count as idle. A single slow server must not make
+                # a zone look short in which a node sends few requests.
+                occupancy *= load.known_share
+            known = self.occupancy_by_zone.get(zone, occupancy)
+            self.occupancy_by_zone[zone] = known + weight * (occupancy - known)
 
     def _wanted_share(self, transfer_bytes: float) -> float:
         """Returns the share that should leave the zone if the others had room for all of it."""
