--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -372,7 +372,9 @@
             self._services.entry_by_server_id.get(view.server_id),
             hedge=hedge,
         )
-        view.observe_sent()
+        state.placement.observe_sent(started_s, view, ongoing.route_name, len(ongoing.body))
+        if view.other_zone:
+            self._metrics.count("requests_out_of_zone_total", ongoing.service)
         result: Result | None = None
         try:
             result = await self._send(ongoing, state, view, history, started_s)
