Halve the repeated estimates in the figures of a choice

Cause: the figures of an attempt computed the speed of the server twice, which costs processor time on the path of each request. Also, `why` related a `memory_full` line of any node to a refusal at the caller's own node.

Change: `ServerView.estimate` returns latency and slowness together. A decision that names no server is explained by lines of its own node only.

--- a/packages/client/src/laburnumford_client/request_log.py
+++ b/packages/client/src/laburnumford_client/request_log.py
@@ -125,6 +125,11 @@
         return True
 
     def _may_adjoin(self, event: dict[str, Any], decision: dict[str, Any]) -> bool:
-        """Returns whether the node of an event can be that of the server of a decision."""
-        node = self._node_by_server.get(str(decision.get("server")))
+        """Returns whether an event can be that of the node that decided.
+
+        This is the node of the server, or for a decision without a server the logging one.
+        """
+        if decision.get("server") is None:
+            return bool(event.get("node") == decision.get("node"))
+        node = self._node_by_server.get(str(decision["server"]))
         return node is None or node == event.get("node")
--- a/packages/client/src/laburnumford_client/tests/test_why.py
+++ b/packages/client/src/laburnumford_client/tests/test_why.py
@@ -171,6 +171,13 @@
     assert document["steps"][0]["causes"] == []
 
 
+def test_decision_without_a_server_is_explained_by_its_own_node(explain):
+    """Guards against the full memory of another node as the cause of a refusal at the first."""
+    lines = [_line(9.9, "n1", "memory_full", size=1), _refused(10.1, "memory-full")]
+    _, _, document = explain(lines, [_line(10.0, "n2", "memory_full", size=2)])
+    assert [cause["node"] for cause in document["steps"][0]["causes"]] == ["n1"]
+
+
 def test_condition_that_ended_during_the_attempt_is_a_cause(explain):
     """Guards against a lost cause when a zone is restored while a request waits there."""
     _, _, document = explain(
--- a/packages/mesh/src/laburnumford_mesh/decision_figures.py
+++ b/packages/mesh/src/laburnumford_mesh/decision_figures.py
@@ -33,14 +33,15 @@
     service_time_s = state.placement.mean_service_time_s(
         ongoing.route_name, ongoing.default_service_time_s
     )
+    expected_s, slowness = view.estimate(now, service_time_s)
     return {
         "zone": None if entry is None else entry.zone,
         "other_zone": view.other_zone,
         "servers": [len(state.placement.views_by_id), len(excluded)],
-        "expected_ms": _ms(view.expected_latency_s(now, service_time_s)),
+        "expected_ms": _ms(expected_s),
         "service_ms": _ms(service_time_s),
         "view": list(view.known_load()),
-        "view_slowness": round(view.estimated_slowness(now), 2),
+        "view_slowness": round(slowness, 2),
         "hedge": hedge,
     }
 
--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -150,6 +150,15 @@
     def expected_latency_s(self, now: float, service_time_s: float) -> float:
         """Returns the expected latency of a request sent now: the time until its answer.
 
+        Args:
+            now: current time.
+            service_time_s: service time at normal speed in seconds.
+        """
+        return self.estimate(now, service_time_s)[0]
+
+    def estimate(self, now: float, service_time_s: float) -> tuple[float, float]:
+        """Returns the expected latency in seconds and the slowness that it is based on.
+
         Args:
             now: current time.
             service_time_s: service time at normal speed in seconds.
@@ -160,7 +169,8 @@
         rounds = max(ahead, 0) / self._limit
         failing = min(self.failure_share(now), _MAX_FAILURE_SHARE)
         wait_s = max(service_time_s * speed.baseline * rounds, self._limit_wait_s(now))
-        return (self.round_trip_s + completion_s + wait_s) / (1.0 - failing) ** 2
+        expected_s = (self.round_trip_s + completion_s + wait_s) / (1.0 - failing) ** 2
+        return (expected_s, speed.slowness)
 
     def known_load(self) -> tuple[int, int, int]:
         """Returns the reported load, the requests sent since the report, and the limit.
@@ -170,10 +180,6 @@
         """
         return (self._load, self._sent_since_report, self._limit)
 
-    def estimated_slowness(self, now: float) -> float:
-        """Returns the estimated slowness of the server; 1 is normal speed."""
-        return self._speed(now).slowness
-
     def _limit_wait_s(self, now: float) -> float:
         """Returns the expected wait for the rate limit of the server in seconds."""
         if self.rate_limit_per_s is None:
