Name the other attempts of a request in its closing sentence

Change: the sentence lists other attempts without an order, names candidates only for a first choice or a retry, and notes the left-out lines once a node. `left_out_lines` of the document is by node.

--- a/packages/client/src/laburnumford_client/closing_sentence.py
+++ b/packages/client/src/laburnumford_client/closing_sentence.py
@@ -35,25 +35,26 @@
     if used is None:
         return f"Answered with {status}; no log has the attempt that gave the response."
     text = f"Answered with {status} by {used.server} because {_choice(used)}"
-    failed = [step for step in shown.attempts if step.reason]
-    if failed:
-        text += f", after {_count(failed)}"
+    others = [step for step in shown.attempts if step.reason]
+    if others:
+        text += f"; other attempts: {_count(others)}"
     return f"{text}; {_duration(used)}{_cause_text(used)}."
 
 
 def _choice(used: request_step.Step) -> str:
     """Returns why an attempt went to its server."""
+    other = " although it is in another zone" if used.event.get("other_zone") is True else ""
+    if used.hedge:
+        return f"the first attempt exceeded its expected time and it had a free slot{other}"
     expected_ms = event_values.number(used.event, "expected_ms")
     servers = event_values.numbers(used.event, "servers", 2)
-    if used.hedge:
-        reason = "the first attempt exceeded its expected time and this server had a free slot"
-    elif expected_ms is None:
-        reason = "it was chosen"
-    else:
+    reason = "it was chosen"
+    if expected_ms is not None:
         reason = f"it was expected to answer first ({expected_ms:g} ms)"
-    among = "" if servers is None else f" among {servers[0] - servers[1]:g} servers"
-    other = " although it is in another zone" if used.event.get("other_zone") is True else ""
-    return reason + among + other
+    if servers is None:
+        return reason + other
+    left = servers[0] - servers[1]
+    return f"{reason} of {left:g} {'server' if left == 1 else 'servers'} not tried yet{other}"
 
 
 def _duration(used: request_step.Step) -> str:
--- a/packages/client/src/laburnumford_client/tests/test_why.py
+++ b/packages/client/src/laburnumford_client/tests/test_why.py
@@ -97,7 +97,7 @@
         ]
     )
     sentence = document["sentence"]
-    assert "by s1 because it was expected to answer first (45 ms) among 3 servers" in sentence
+    assert "by s1 because it was expected to answer first (45 ms) of 3 servers" in sentence
     assert "spent 540.0 ms in wait and transfer, with 4 running and 9 waiting" in sentence
 
 
@@ -223,6 +223,7 @@
     assert [step["hedge"] for step in document["steps"]] == [False, True, False, False]
     assert "answer_broken server=s1 error=cut" in text
     assert "the first attempt exceeded its expected time" in document["sentence"]
+    assert "other attempts: answer-broken at s1" in document["sentence"]
     assert document["steps"][0]["causes"][0]["event"] == "answer_broken"
 
 
@@ -287,7 +288,7 @@
         ]
     )
     assert document["outcome"] == "unfinished"
-    assert document["left_out_lines"] == 5
+    assert document["left_out_lines"] == {"n1": 5}
     assert "n1 left out 5 lines" in text
     assert "No log has the final answer" in document["sentence"]
 
--- a/packages/client/src/laburnumford_client/why.py
+++ b/packages/client/src/laburnumford_client/why.py
@@ -1,5 +1,6 @@
 """The ``why`` command, which explains the decisions about one request."""
 
+import collections
 import json
 from typing import Any
 
@@ -52,14 +53,22 @@
         )
         for event, text in step.causes:
             click.echo(f"{_INDENT}{_describe_cause(step, event, text)}")
-    for gap in shown.gaps:
-        click.echo(f"note: {document.printable(gap.node)} left out {gap.lines} lines at that time")
+    for node, lines in _left_out_by_node(shown).items():
+        click.echo(f"note: {document.printable(node)} left out {lines} lines at that time")
     click.echo(closing_sentence.write(shown))
 
 
 _INDENT = " " * 27
 
 
+def _left_out_by_node(shown: timeline.Timeline) -> dict[str, int]:
+    """Returns the number of lines that nodes left out of their logs, by node."""
+    counted: collections.Counter[str] = collections.Counter()
+    for gap in shown.gaps:
+        counted[gap.node] += gap.lines
+    return dict(counted)
+
+
 def _subject(shown: timeline.Timeline) -> str:
     if shown.final is None:
         return ""
@@ -91,7 +100,7 @@
         "start": round(shown.from_s, 4),
         "duration_ms": round((shown.until_s - shown.from_s) * 1000, 1),
         "steps": [step.to_json(shown.from_s) for step in shown.steps],
-        "left_out_lines": sum(gap.lines for gap in shown.gaps),
+        "left_out_lines": _left_out_by_node(shown),
         "sentence": closing_sentence.write(shown),
     }
 
