Limit the requests to a cold server

Cause: a server that has just started, or whose zone comes back, sustains few requests a second and crashes above; nodes sent it full load.

Change: services may publish coldPerS and coldStartS. The node beside a server learns from its health checks for how long it is cold (X-Cold-Remaining) and limits the starts; the limit is a second source of the rate limit in load reports. A server without an answered health check counts as cold: after a start, a failed connect or an evacuation. Requests since the last health check that said warm are subtracted, so a server that becomes cold under load stays within the published bound. Services without coldPerS are unchanged.

--- a/packages/mesh/src/laburnumford_mesh/configuration.py
+++ b/packages/mesh/src/laburnumford_mesh/configuration.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from laburnumford_mesh import cold_start, route
 from laburnumford_mesh import limits as limits_module
-from laburnumford_mesh import route
 
 
 class Configuration:
@@ -16,6 +16,7 @@
         max_connections_by_service: largest number of connections that a
             server accepts, for each service.
         limits: limits on the requests of callers.
+        cold_start_by_service: limit on requests to cold servers, for each service that has one.
     """
 
     def __init__(
@@ -26,12 +27,14 @@
         health_path_by_service: Mapping[str, str],
         max_connections_by_service: Mapping[str, int],
         limits: limits_module.Limits,
+        cold_start_by_service: Mapping[str, cold_start.ColdStart] | None = None,
     ) -> None:
         self.version = version
         self.routes = tuple(routes)
         self.health_path_by_service = dict(health_path_by_service)
         self.max_connections_by_service = dict(max_connections_by_service)
         self.limits = limits
+        self.cold_start_by_service = dict(cold_start_by_service or {})
         self.services = frozenset(self.health_path_by_service).union(
             each.name for one_route in self.routes for each in one_route.services
         )
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -8,10 +8,12 @@
 
 from laburnumford_mesh import (
     clock,
+    cold_start,
     errors,
     event_log,
     frames,
     load_header,
+    server_coldness,
     server_notice,
     server_rate_limit,
     server_request,
@@ -137,6 +139,7 @@
         self._cold_server_id = ""
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
         self._rate_limit = server_rate_limit.ServerRateLimit(log=log, on_change=on_load_change)
+        self._coldness = server_coldness.ServerColdness(log=log, rate_limit=self._rate_limit)
         self.running = 0
         self.shutting_down = False
         self.run_count = 0
@@ -158,6 +161,15 @@
         """Largest number of requests that run on the server at a time."""
         return self._concurrency_limit.limit(clock.now())
 
+    @property
+    def cold(self) -> bool:
+        """Whether the server has a limit because it is cold, or may be cold."""
+        return self._coldness.is_cold
+
+    def set_cold_start(self, published: cold_start.ColdStart | None) -> None:
+        """Applies the limit on requests to cold servers of the service, None without one."""
+        self._coldness.configure(published)
+
     def apply(
         self,
         *,
@@ -186,6 +198,7 @@
             self._speed.expect_cold()
         if not self._is_server_id_confirmed():
             self.server_id = server_id
+        self._coldness.observe_registration(server_id, started_ms)
         self._set_slots(max(slots, 1))
         self._start_waiting_requests()
 
@@ -210,6 +223,8 @@
 
         While it is, the server gets neither requests nor health checks. Running requests finish.
         """
+        if evacuated != self._evacuated:
+            self._coldness.forget(self.server_id)
         self._evacuated = evacuated
         if evacuated:
             self._shed_waiting_requests()
@@ -263,6 +278,9 @@
     def sweep(self) -> None:
         """Closes stale connections, and refuses or starts waiting requests."""
         self._pool.sweep()
+        self._coldness.update()
+        if self._coldness.should_check():
+            self._start_probe(clock.now())
         self._start_waiting_requests()
 
     def close(self) -> None:
@@ -417,6 +435,7 @@
         if received_id != self.server_id:
             self._log.write("server_changed", server=received_id, previous=self.server_id)
             self.server_id = received_id
+            self._coldness.forget(received_id)
 
     async def _exchange(self, request: frames.Request, deadline_s: float) -> Any:
         connection: server_connection.ServerConnection | None = None
@@ -460,6 +479,7 @@
             return self.refusal(request.call_id, "server-full")
         except http_errors.ConnectError:
             self._down_until_s = clock.now() + _DOWN_AFTER_CONNECT_ERROR_S
+            self._coldness.forget(request.server_id)
             if not self._unreachable:
                 self._unreachable = True
                 self._log.write("server_lost", server=request.server_id)
@@ -550,6 +570,8 @@
                 name=name.decode("latin-1"),
                 value=value.decode("latin-1"),
             )
+        if is_health_check and not notice.cold_malformed:
+            self._coldness.observe_check(notice.cold_remaining_s or 0.0)
         if notice.leaving and server_id != self._leaving_server_id:
             self._leaving_server_id = server_id
             self._leaving_started_ms = self._started_ms
@@ -577,6 +599,8 @@
         if not len(self._queue) or self.running >= self.limit:
             return
         now = clock.now()
+        if self._coldness.must_check() and self._start_probe(now):
+            return
         if not self._rate_limit.bucket.can_admit(now):
             return
         if self._speed.age_s(now) > _MAX_SPEED_AGE_S and self._start_probe(now):
@@ -603,6 +627,7 @@
         if granted is not None and not granted.done():
             self.running += 1
             self._rate_limit.bucket.admit(clock.now())
+            self._coldness.observe_start()
             granted.set_result(None)
 
     def _start_probe(self, now: float) -> bool:
@@ -626,12 +651,14 @@
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 connection = await self._pool.acquire(_UNLIMITED_IDLE_S)
+                self._coldness.begin_check()
                 answer = await connection.send(b"GET", encoded)
             self._observe_server_id(fields.get(answer.fields, self._names.server_id))
             self._observe_load(fields.get(answer.fields, self._names.load))
             self._observe_notice(answer, self.server_id, is_health_check=True)
         except (TimeoutError, http_errors.HttpError) as error:
             self._log.write("probe_failed", server=self.server_id, error=str(error))
+            self._coldness.observe_failed_check()
             self._close_connection(connection)
         finally:
             self._probe = None
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -307,6 +307,7 @@
                 "value_pulls_total": self._sync.pull_count,
                 "requests_in_work": self._edge_server.in_flight_count,
                 "caller_connections": self._edge_server.connection_count,
+                "server_cold": float(self._local.cold),
                 "server_running": self._local.running,
                 "server_waiting": self._local.waiting,
                 "server_runs_total": self._local.run_count,
@@ -344,6 +345,7 @@
     def _apply_directory(self) -> None:
         entries = self._directory.servers()
         own = self._own_entry(self._directory.configured_servers())
+        self._apply_cold_start()
         if own is not None:
             current = self._directory.configuration
             paths = {} if current is None else current.health_path_by_service
@@ -367,6 +369,11 @@
         self._local.observe_evacuation(evacuated=not own_zones.isdisjoint(evacuated_zones))
         self._services.set_evacuated_services(self._directory.evacuated_services())
 
+    def _apply_cold_start(self) -> None:
+        current = self._directory.configuration
+        if current is not None:
+            self._local.set_cold_start(current.cold_start_by_service.get(self._settings.service))
+
     def _own_entry(
         self, entries: Sequence[server_entry.ServerEntry]
     ) -> server_entry.ServerEntry | None:
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -35,6 +35,7 @@
     server_id=b"x-server",
     rate_limit=b"x-rate-limit",
     leaving=b"x-leaving",
+    cold_remaining=b"x-cold",
 )
 SLOTS = 4
 CALL_IDS = iter(range(1, 100_000))
--- a/packages/mesh/src/laburnumford_mesh/wire_names.py
+++ b/packages/mesh/src/laburnumford_mesh/wire_names.py
@@ -18,6 +18,7 @@
         retry_after: seconds after which a refused caller may retry.
         server_id: id of the server in answers to health checks.
         rate_limit: requests per second that a server in trouble takes.
+        cold_remaining: seconds until a server is warm, in answers to health checks.
         leaving: says in answers of a server that it is about to end.
     """
 
@@ -32,3 +33,4 @@
     server_id: bytes
     rate_limit: bytes
     leaving: bytes
+    cold_remaining: bytes
--- a/packages/policy/src/laburnumford_policy/placement/advertised_limit.py
+++ b/packages/policy/src/laburnumford_policy/placement/advertised_limit.py
@@ -41,6 +41,11 @@
         self.rate_per_s = rate_per_s
         return True
 
+    def drain(self, now: float, at_most: float) -> None:
+        """Reduces the tokens to a number, which is negative if requests have been sent already."""
+        self._refill(now)
+        self._tokens = min(self._tokens, at_most)
+
     def tokens(self, now: float) -> float:
         """Returns the number of requests that may be admitted now, infinity without a limit."""
         if self.rate_per_s is None:
