--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -27,6 +27,9 @@
             `soft_deadline_s` for short calls, which a request running on another server waits for.
         deadline_s: time after which an answer has no value.
         request_class: key by which service times are learned.
+        above_share: whether its caller has more than its fair share; it goes after the other
+            requests of its priority.
+        displaceable: whether a request of a caller below its share may take its place.
     """
 
     entry_id: int
@@ -35,6 +38,8 @@
     late_after_s: float
     deadline_s: float
     request_class: str
+    above_share: bool = False
+    displaceable: bool = True
 
 
 class WorkQueue:
@@ -65,6 +70,17 @@
         order = self._sort_key(entry, now)
         return sum(self._sort_key(other, now) <= order for other in self._waiting_by_id.values())
 
+    def in_order(self, now: float) -> list[WaitingRequest]:
+        """Returns the waiting requests in the order in which they would run."""
+        return sorted(self._waiting_by_id.values(), key=lambda entry: self._sort_key(entry, now))
+
+    def ahead_of(self, entry: WaitingRequest, now: float) -> list[WaitingRequest]:
+        """Returns the waiting requests that would run before this one."""
+        order = self._sort_key(entry, now)
+        return [
+            other for other in self._waiting_by_id.values() if self._sort_key(other, now) <= order
+        ]
+
     def should_enqueue(
         self,
         entry: WaitingRequest,
@@ -126,9 +142,7 @@
         """
         removed: list[WaitingRequest] = []
         ahead = 0
-        for entry in sorted(
-            self._waiting_by_id.values(), key=lambda entry: self._sort_key(entry, now)
-        ):
+        for entry in self.in_order(now):
             end_s = now + wait_s(ahead) + self._service_time_s(entry.request_class)
             if end_s > entry.deadline_s:
                 removed.append(entry)
@@ -149,6 +163,11 @@
         del self._waiting_by_id[best.entry_id]
         return best
 
-    def _sort_key(self, entry: WaitingRequest, now: float) -> tuple[bool, int, float]:
+    def _sort_key(self, entry: WaitingRequest, now: float) -> tuple[bool, int, bool, float]:
         late = self._is_late(entry, now)
-        return (late, entry.priority, entry.deadline_s if late else entry.soft_deadline_s)
+        return (
+            late,
+            entry.priority,
+            entry.above_share,
+            entry.deadline_s if late else entry.soft_deadline_s,
+        )
