Order waiting requests by the share of their caller

Cause: returning requests have earlier soft deadlines, so those of a class above its share filled the queue before new ones of other classes (load 'class that returns', seed 1: 0.86 of the patient class in time). Change: a rank from the shares precedes the soft deadline within one priority.

--- a/packages/policy/src/laburnumford_policy/placement/fair_admission.py
+++ b/packages/policy/src/laburnumford_policy/placement/fair_admission.py
@@ -49,8 +49,8 @@
     ) -> work_queue.WaitingRequest:
         """Counts the arrival of a request; returns its entry with its place in the queue's order.
 
-        A request of a caller above its share goes after the others of its priority; one of a
-        starving class is raised and keeps its place.
+        Within a priority, requests of callers above their share go last. One of a starving class
+        is raised and keeps its place.
         """
         self._ratios.observe_arrival(
             entry.request_class, entry.priority, entry.deadline_s - now, now
@@ -58,8 +58,8 @@
         if self._ratios.is_starving(entry.request_class):
             priority = self._ratios.effective_priority(entry.request_class, entry.priority)
             return dataclasses.replace(entry, priority=priority, displaceable=False)
-        above = entry.displaceable and self.excess(claim, now).level > share_excess.ShareLevel.NONE
-        return dataclasses.replace(entry, above_share=True) if above else entry
+        rank = self.excess(claim, now).rank if entry.displaceable else 0
+        return dataclasses.replace(entry, share_rank=rank) if rank else entry
 
     def make_room(
         self,
@@ -110,7 +110,7 @@
         """
         displaced: list[work_queue.WaitingRequest] = []
         for position, entry in enumerate(self._queue.in_order(now)):
-            if not entry.above_share or not entry.displaceable:
+            if not entry.share_rank or not entry.displaceable:
                 continue
             if end_s(entry, position - len(displaced)) <= entry.late_after_s:
                 continue
--- a/packages/policy/src/laburnumford_policy/placement/fair_share.py
+++ b/packages/policy/src/laburnumford_policy/placement/fair_share.py
@@ -10,6 +10,7 @@
 counted, so that the use of an idle server is never held against a caller.
 """
 
+import dataclasses
 import math
 from collections.abc import Iterable
 
@@ -98,7 +99,12 @@
             usage.observe_ended(now, -claim.cost_s)
 
     def excess(self, claim: share_claim.ShareClaim, now: float) -> share_excess.ShareExcess:
-        """Returns the most specific level at which the usage is above the share."""
+        """Compares the usage of a claim with its share at each level.
+
+        A class below its share is owed capacity, so none of its callers is above a share, however
+        uneven they are. A VM below its share of a class that is above its own goes before the
+        other VMs of that class, but after other classes.
+        """
         found = share_excess.ShareExcess()
         parent: share_usage.ShareUsage = self._root
         for level, key in zip(list(share_excess.ShareLevel)[1:], claim.path, strict=True):
@@ -107,8 +113,12 @@
                 break
             share_s = parent.total_s(now) / len(parent.children)
             usage_s = usage.total_s(now)
+            if len(parent.children) > 1 and usage_s <= share_s:
+                break
+            found = dataclasses.replace(found, rank=int(level))
             if usage_s > _TOLERANCE * share_s > 0.0:
                 found = share_excess.ShareExcess(
+                    rank=int(level),
                     level=level,
                     usage_s=usage_s,
                     share_s=share_s,
--- a/packages/policy/src/laburnumford_policy/placement/share_excess.py
+++ b/packages/policy/src/laburnumford_policy/placement/share_excess.py
@@ -18,6 +18,8 @@
     """Result of the comparison of a request's usage with its shares.
 
     Attributes:
+        rank: number of levels from the top at which the usage is not below the share. Requests of a
+            lower rank go first.
         level: most specific level at which the share is exceeded.
         usage_s: usage at that level in seconds of work.
         share_s: share at that level in seconds of work.
@@ -25,6 +27,7 @@
             run; 0 below the share.
     """
 
+    rank: int = 0
     level: ShareLevel = ShareLevel.NONE
     usage_s: float = 0.0
     share_s: float = 0.0
--- a/packages/policy/src/laburnumford_policy/placement/work_queue.py
+++ b/packages/policy/src/laburnumford_policy/placement/work_queue.py
@@ -27,8 +27,8 @@
             `soft_deadline_s` for short calls, which a request running on another server waits for.
         deadline_s: time after which an answer has no value.
         request_class: key by which service times are learned.
-        above_share: whether its caller has more than its fair share; it goes after the other
-            requests of its priority.
+        share_rank: place among the requests of its priority by the fair share of its caller; lower
+            ones go first.
         displaceable: whether a request of a caller below its share may take its place.
     """
 
@@ -38,7 +38,7 @@
     late_after_s: float
     deadline_s: float
     request_class: str
-    above_share: bool = False
+    share_rank: int = 0
     displaceable: bool = True
 
 
@@ -163,11 +163,11 @@
         del self._waiting_by_id[best.entry_id]
         return best
 
-    def _sort_key(self, entry: WaitingRequest, now: float) -> tuple[bool, int, bool, float]:
+    def _sort_key(self, entry: WaitingRequest, now: float) -> tuple[bool, int, int, float]:
         late = self._is_late(entry, now)
         return (
             late,
             entry.priority,
-            entry.above_share,
+            entry.share_rank,
             entry.deadline_s if late else entry.soft_deadline_s,
         )
