Share the capacity of a server fairly under overload where the settings call for it

Cause: a flooding caller, or a request class whose callers return at once, takes the capacity of a server from all others. Change: the node beside a server displaces waiting requests of callers above their share for those below it. Requests and offers name the VM and connection of the caller; refusals say whether the caller is above its share, and the node of the caller then spares that server for a moment.

--- a/packages/mesh/src/laburnumford_mesh/call.py
+++ b/packages/mesh/src/laburnumford_mesh/call.py
@@ -28,6 +28,7 @@
         soft_deadline_s: time until which an answer has its full value; it is earlier for callers
             that have already waited.
         deadline_s: time after which the caller no longer waits for an answer.
+        connection: number of the caller's connection, 0 if unknown.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     target_latency_s: float
     soft_deadline_s: float
     deadline_s: float
+    connection: int = 0
 
     @property
     def default_service_time_s(self) -> float:
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -18,6 +18,7 @@
     peers,
     server_notice,
     services,
+    share_holds,
     wire_names,
 )
 from laburnumford_policy.placement import server_view
@@ -129,6 +130,7 @@
         names: header field names.
         log: structured log.
         counters: metrics.
+        own_ip: IP address of this VM, by which other nodes tell callers apart.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         names: wire_names.WireNames,
         log: event_log.EventLog,
         counters: metrics.Metrics,
+        own_ip: str = "",
     ) -> None:
         self._local = local
         self._server_address = server_address
@@ -149,6 +152,8 @@
         self._names = names
         self._log = log
         self._metrics = counters
+        self._own_ip = own_ip
+        self._share_holds = share_holds.ShareHolds()
         self._call_ids = itertools.count(1)
 
     async def dispatch(self, ongoing: call.Call) -> frames.Answer:
@@ -161,6 +166,9 @@
         state = self._services.state(ongoing.service)
         state.retry_budget.observe_request(clock.now())
         history = _AttemptHistory()
+        history.excluded_server_ids, history.retry_after_s = self._share_holds.held_server_ids(
+            ongoing.route_name, ongoing.connection, state.placement.views_by_id, clock.now()
+        )
         while True:
             now = clock.now()
             if ongoing.deadline_s - now < _MIN_REMAINING_S:
@@ -371,6 +379,8 @@
             offer_accepted=False,
             service_time_s=_service_time_s(ongoing, state),
             rate_limit_per_s=view.rate_limit_per_s,
+            caller_vm=self._own_ip,
+            caller_connection=ongoing.connection,
         )
         if entry is None:
             return self._local.refusal(frame.call_id, "no-server")
@@ -411,6 +421,8 @@
             request_class=frame.request_class,
             expects_slowdown=frame.expects_slowdown,
             service_time_s=frame.service_time_s,
+            caller_vm=frame.caller_vm,
+            caller_connection=frame.caller_connection,
         )
         try:
             result = await target.offer(offer, min(_OFFER_TIMEOUT_S, frame.remaining_s))
@@ -431,6 +443,8 @@
     ) -> None:
         if result.load.server_id == view.server_id:
             self._services.observe_load(result.load)
+            if isinstance(result, frames.Refusal):
+                self._share_holds.observe(ongoing.route_name, ongoing.connection, result, now)
         if isinstance(result, frames.Answer):
             if server_notice.parse(result.fields, self._names).leaving:
                 self._services.exclude_leaving(view)
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -154,6 +154,7 @@
             target_latency_s=matched_route.target_latency_s,
             soft_deadline_s=received.received_s + matched_route.target_latency_s - elapsed_s,
             deadline_s=received.received_s + remaining_s,
+            connection=received.connection,
         )
 
     def _choose_service(
--- a/packages/mesh/src/laburnumford_mesh/errors.py
+++ b/packages/mesh/src/laburnumford_mesh/errors.py
@@ -29,12 +29,14 @@
     Args:
         reason: short label for logs and metrics.
         retry_after_s: seconds until the server expects free capacity, 0 if it does not say.
+        share_level: level at which the caller is above its fair share, 0 if it is not.
     """
 
-    def __init__(self, reason: str, retry_after_s: float = 0.0) -> None:
+    def __init__(self, reason: str, retry_after_s: float = 0.0, share_level: int = 0) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.share_level = share_level
 
 
 class RefusedError(AttemptError):
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -83,6 +83,8 @@
             that has run no such request yet uses it.
         rate_limit_per_s: latest limit of the server that the sender knows; a receiver that has got
             no answer of the server since its start uses it.
+        caller_vm: VM at which the request entered, empty if unknown.
+        caller_connection: connection of the caller at that VM, 0 if unknown.
     """
 
     call_id: int
@@ -100,6 +102,8 @@
     offer_accepted: bool
     service_time_s: float = 0.05
     rate_limit_per_s: float | None = None
+    caller_vm: str = ""
+    caller_connection: int = 0
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True, tag=2):
@@ -121,12 +125,18 @@
 
 
 class Refusal(msgspec.Struct, array_like=True, frozen=True, tag=3):
-    """Tells the sender that the request did not run and never will."""
+    """Tells the sender that the request did not run and never will.
+
+    Attributes:
+        share_level: level at which the caller is above its fair share of the server (1: request
+            class, 2: VM, 3: connection), 0 if it is not.
+    """
 
     call_id: int
     reason: str
     retry_after_s: float
     load: LoadReport
+    share_level: int = 0
 
 
 class UnknownOutcome(msgspec.Struct, array_like=True, frozen=True, tag=4):
@@ -217,6 +227,8 @@
     request_class: str
     expects_slowdown: bool
     service_time_s: float = 0.05
+    caller_vm: str = ""
+    caller_connection: int = 0
 
 
 class Acceptance(msgspec.Struct, array_like=True, frozen=True, tag=14):
--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import logging
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -32,6 +33,7 @@
 _MIN_BODY_BYTES_PER_S = 10_000
 """Rate below which a body counts as too slow once the idle timeout has passed."""
 
+_CONNECTION_NUMBERS = itertools.count(1)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -88,6 +90,7 @@
         self._draining = False
         self._ended = False
         self._remote_ip = ""
+        self._number = next(_CONNECTION_NUMBERS)
         self.last_activity_s = clock.now()
         self.header_started_s: float | None = None
         self._body_started_s = 0.0
@@ -212,6 +215,7 @@
             keep_alive=self._parser.should_keep_alive(),
             received_s=clock.now(),
             remote_ip=self._remote_ip,
+            connection=self._number,
         )
         pending = _PendingAnswer(
             keep_alive=received.keep_alive, is_head=received.method == b"HEAD"
--- a/packages/mesh/src/laburnumford_mesh/http/request.py
+++ b/packages/mesh/src/laburnumford_mesh/http/request.py
@@ -18,6 +18,7 @@
         keep_alive: whether the caller asks for a persistent connection.
         received_s: time of `clock.now` when the last byte was read.
         remote_ip: IP address of the caller.
+        connection: number of the caller's connection since the start of the process.
     """
 
     method: bytes
@@ -28,6 +29,7 @@
     keep_alive: bool
     received_s: float
     remote_ip: str
+    connection: int = 0
 
     @property
     def path(self) -> str:
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -12,11 +12,13 @@
     event_log,
     frames,
     load_header,
+    metrics,
     server_notice,
     server_rate_limit,
     server_request,
     server_speed,
     service_times,
+    share_gate,
     wire_names,
 )
 from laburnumford_mesh.http import answer as answers
@@ -24,6 +26,7 @@
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
+    displacement,
     knee_limit,
     reservations,
     start_policy,
@@ -63,6 +66,9 @@
 of a change up to 1.5 s late if gossip or the store fails for a moment, and the shortest published
 time after which the server must get no more requests is 2 s."""
 
+_OVERLOADED_REASON = "overloaded"
+"""Requests ahead, or callers below their share, leave no room to answer the request in time."""
+
 _RATE_LIMIT_REASON = "rate-limited"
 """The server advertises a rate at which it cannot get the request in time."""
 
@@ -80,6 +86,7 @@
         limits: limits on the bytes of one exchange with the server.
         buffer_bytes: total size of the answers that are received at a time.
         on_load_change: called when other nodes should get a new load report.
+        share_counters: metrics of the fair shares of callers; None without fair sharing.
 
     Attributes:
         server_id: id of the current server.
@@ -99,6 +106,7 @@
         limits: read_limits.ReadLimits,
         buffer_bytes: int,
         on_load_change: Callable[[], None],
+        share_counters: metrics.Metrics | None = None,
     ) -> None:
         self._address = address
         self._names = names
@@ -112,6 +120,11 @@
             buffer_bytes=buffer_bytes,
         )
         self._queue = work_queue.WorkQueue(service_time_s=self._expected_service_time_s)
+        self._share_gate = (
+            None
+            if share_counters is None
+            else share_gate.ShareGate(queue=self._queue, log=log, counters=share_counters)
+        )
         self._slot_grant_by_id: dict[int, asyncio.Future[None]] = {}
         self._entry_ids = itertools.count()
         self._report_ids = itertools.count()
@@ -221,9 +234,11 @@
             self._rate_limit.free_tokens(now, len(self._queue) + self._reservations.count(now)),
         )
 
-    def refusal(self, call_id: int, reason: str, retry_after_s: float = 0.0) -> frames.Refusal:
+    def refusal(
+        self, call_id: int, reason: str, retry_after_s: float = 0.0, share_level: int = 0
+    ) -> frames.Refusal:
         """Returns a refusal with the current load report."""
-        return frames.Refusal(call_id, reason, retry_after_s, self.report())
+        return frames.Refusal(call_id, reason, retry_after_s, self.report(), share_level)
 
     async def run(self, request: frames.Request | frames.Offer) -> Any:
         """Runs a request or decides on an offer; returns the frame that answers it."""
@@ -232,10 +247,12 @@
         started_s = clock.now()
         deadline_s = started_s + request.remaining_s
         try:
-            await self._wait_for_slot(request, started_s, deadline_s)
+            entry_id = await self._wait_for_slot(request, started_s, deadline_s)
         except errors.RefusedError as error:
-            return self.refusal(request.call_id, error.reason, error.retry_after_s)
-        exchange = asyncio.get_running_loop().create_task(self._exchange(request, deadline_s))
+            return self._refusal_of(request, error)
+        exchange = asyncio.get_running_loop().create_task(
+            self._exchange(request, deadline_s, entry_id)
+        )
         self._exchanges.add(exchange)
         exchange.add_done_callback(self._exchanges.discard)
         try:
@@ -267,10 +284,17 @@
                 offer, started_s, started_s + offer.remaining_s, offer_accepted=False
             )
         except errors.RefusedError as error:
-            return self.refusal(offer.call_id, error.reason, error.retry_after_s)
+            return self._refusal_of(offer, error)
         self._reservations.add(clock.now())
+        if self._share_gate is not None:
+            self._share_gate.reserve(offer, self._expected_service_time_s(offer.request_class))
         return frames.Acceptance(offer.call_id, self.report())
 
+    def _refusal_of(
+        self, request: frames.Request | frames.Offer, error: errors.RefusedError
+    ) -> frames.Refusal:
+        return self.refusal(request.call_id, error.reason, error.retry_after_s, error.share_level)
+
     async def _admit(
         self,
         request: frames.Request | frames.Offer,
@@ -312,7 +336,11 @@
             late_after_s=self._late_after_s(request, service_time_s, started_s),
             deadline_s=deadline_s,
             request_class=request.request_class,
+            displaceable=not offer_accepted,
         )
+        if self._share_gate is not None and not offer_accepted:
+            short = self._is_short(service_time_s)
+            entry = self._share_gate.rank(entry, request, service_time_s, short=short)
         wait_s = self._expected_wait_s(entry, service_time_s)
         reserved = self._reservations.count(started_s)
         limit_wait_s = self._rate_limit.bucket.wait_s(
@@ -323,12 +351,77 @@
         if not offer_accepted and not self._queue.should_enqueue(
             entry, started_s, wait_s, reserved, limit_wait_s
         ):
-            raise errors.RefusedError("overloaded", max(wait_s, limit_wait_s))
+            retry_after_s = max(wait_s, limit_wait_s)
+            if self._share_gate is None:
+                raise errors.RefusedError(_OVERLOADED_REASON, retry_after_s)
+            self._make_room(request, entry, service_time_s, retry_after_s)
         return entry
 
+    def _make_room(
+        self,
+        request: frames.Request | frames.Offer,
+        entry: work_queue.WaitingRequest,
+        service_time_s: float,
+        retry_after_s: float,
+    ) -> None:
+        """Displaces requests of callers above their share, so that another one can wait.
+
+        Raises:
+            RefusedError: there are none, or the request would still be late.
+        """
+        if self._share_gate is None:
+            return
+        now = clock.now()
+        reserved = self._reservations.count(now)
+        ahead = self._queue.count_ahead_of(entry, now)
+
+        def fits(fewer: int) -> bool:
+            wait_s = self._expected_wait_s(entry, service_time_s, fewer)
+            limit_wait_s = self._rate_limit.bucket.wait_s(now, ahead - fewer + reserved)
+            return self._queue.should_enqueue(entry, now, wait_s, reserved, limit_wait_s)
+
+        displaced = self._share_gate.make_room(entry, request, service_time_s, fits)
+        if not displaced:
+            excess = self._share_gate.observe_refused(request, service_time_s)
+            raise errors.RefusedError(
+                _OVERLOADED_REASON, max(retry_after_s, excess.retry_after_s), int(excess.level)
+            )
+        self._refuse_displaced(displaced)
+
+    def _share_accepted(
+        self, gate: share_gate.ShareGate, entry: work_queue.WaitingRequest, request: frames.Request
+    ) -> None:
+        """Counts a request that waits, and displaces those that it would make late."""
+        now = clock.now()
+        gate.accept(entry, request, self._expected_service_time_s(request.request_class))
+
+        def end_s(waiting: work_queue.WaitingRequest, ahead: int) -> float:
+            service_time_s = self._expected_service_time_s(waiting.request_class)
+            return now + self._wait_behind_s(ahead, service_time_s) + service_time_s
+
+        self._refuse_displaced(gate.crowd_out(end_s))
+
+    def _refuse_displaced(self, displaced: list[displacement.Displacement]) -> None:
+        for each in displaced:
+            if self._share_gate is not None:
+                self._share_gate.observe_displaced(each)
+            service_time_s = self._expected_service_time_s(each.entry.request_class)
+            wait_s = self._wait_behind_s(len(self._queue), service_time_s)
+            self._refuse_waiting_request(
+                each.entry,
+                _OVERLOADED_REASON,
+                max(wait_s, each.excess.retry_after_s),
+                int(each.excess.level),
+            )
+
     async def _wait_for_slot(
         self, request: frames.Request, started_s: float, deadline_s: float
-    ) -> None:
+    ) -> int:
+        """Returns the number of the queue entry once the request may start.
+
+        Raises:
+            RefusedError: the request has not run and never will.
+        """
         if request.offer_accepted:
             self._reservations.use(started_s)
         entry = await self._admit(
@@ -337,6 +430,8 @@
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._slot_grant_by_id[entry.entry_id] = granted
         self._queue.add(entry)
+        if self._share_gate is not None:
+            self._share_accepted(self._share_gate, entry, request)
         self._start_waiting_requests()
         try:
             await granted
@@ -344,9 +439,12 @@
             self._queue.remove(entry.entry_id)
             if granted.done() and not granted.cancelled() and granted.exception() is None:
                 self._release_slot()
+            if self._share_gate is not None:
+                self._share_gate.cancel(entry.entry_id)
             raise
         finally:
             self._slot_grant_by_id.pop(entry.entry_id, None)
+        return entry.entry_id
 
     def _is_leaving(self) -> bool:
         """Returns whether the current server has said that it is about to end."""
@@ -365,19 +463,31 @@
         running request are not marked as such, but are short. Refusing one fails the running
         request and wastes its work; serving it late does not.
         """
-        if (
-            service_time_s
-            < self._service_times.mean_s * self._speed.baseline * _SHORT_REQUEST_SHARE
-        ):
+        if self._is_short(service_time_s):
             return now + request.remaining_s
         return now + request.soft_remaining_s
 
-    def _expected_wait_s(self, entry: work_queue.WaitingRequest, service_time_s: float) -> float:
-        """Returns the expected time in seconds until a slot is free for a request."""
-        now = clock.now()
-        occupied = self.running + self._reservations.count(now)
-        ahead = occupied + self._queue.count_ahead_of(entry, now) + 1 - self.limit
-        return max(ahead, 0) * service_time_s / self.limit
+    def _is_short(self, service_time_s: float) -> bool:
+        mean_s = self._service_times.mean_s * self._speed.baseline
+        return service_time_s < mean_s * _SHORT_REQUEST_SHARE
+
+    def _expected_wait_s(
+        self, entry: work_queue.WaitingRequest, service_time_s: float, fewer: int = 0
+    ) -> float:
+        """Returns the expected time in seconds until a slot is free for a request.
+
+        Args:
+            entry: the request.
+            service_time_s: its service time.
+            fewer: number of the requests ahead of it that are left out.
+        """
+        ahead = self._queue.count_ahead_of(entry, clock.now()) - fewer
+        return self._wait_behind_s(ahead, service_time_s)
+
+    def _wait_behind_s(self, ahead: int, service_time_s: float) -> float:
+        """Returns the expected wait in seconds behind a number of waiting requests."""
+        occupied = self.running + self._reservations.count(clock.now())
+        return max(occupied + ahead + 1 - self.limit, 0) * service_time_s / self.limit
 
     async def _is_current_server(self, server_id: str) -> bool:
         """Returns whether an id is that of the current server; probes the server if necessary."""
@@ -400,7 +510,7 @@
             self._log.write("server_changed", server=received_id, previous=self.server_id)
             self.server_id = received_id
 
-    async def _exchange(self, request: frames.Request, deadline_s: float) -> Any:
+    async def _exchange(self, request: frames.Request, deadline_s: float, entry_id: int) -> Any:
         connection: server_connection.ServerConnection | None = None
         request_id = fields.get(request.fields, self._names.request_id)
         sent_s = clock.now()
@@ -456,6 +566,8 @@
             self._close_connection(connection)
             raise
         finally:
+            if self._share_gate is not None:
+                self._share_gate.finish(entry_id)
             self._release_slot()
             if connection is not None:
                 self._pool.release(connection)
@@ -636,8 +748,14 @@
             self._refuse_waiting_request(waiting, "server-draining")
 
     def _refuse_waiting_request(
-        self, entry: work_queue.WaitingRequest, reason: str, retry_after_s: float = 0.0
+        self,
+        entry: work_queue.WaitingRequest,
+        reason: str,
+        retry_after_s: float = 0.0,
+        share_level: int = 0,
     ) -> None:
+        if self._share_gate is not None:
+            self._share_gate.withdraw(entry)
         granted = self._slot_grant_by_id.get(entry.entry_id)
         if granted is not None and not granted.done():
-            granted.set_exception(errors.RefusedError(reason, retry_after_s))
+            granted.set_exception(errors.RefusedError(reason, retry_after_s, share_level))
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -148,6 +148,7 @@
             limits=own_settings.read_limits,
             buffer_bytes=int(own_settings.memory_bytes * _MAX_ANSWER_MEMORY_SHARE),
             on_load_change=self._send_reports,
+            share_counters=self._metrics if own_settings.fair_share else None,
         )
         self._peers = peers.Peers(
             own_ip=own_settings.ip,
@@ -167,6 +168,7 @@
             names=names,
             log=self._log,
             counters=self._metrics,
+            own_ip=own_settings.ip,
         )
         self._edge = edge.Edge(
             own_service=lambda: self._settings.service,
--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -39,6 +39,7 @@
         max_connections: largest number of caller connections on each listener.
         grace_s: time between the signal to stop and the end of the process, in seconds.
         retry_budget: bound on retries.
+        fair_share: whether callers share the adjacent server fairly under overload.
         read_limits: limits on what is read from the backend server for one request.
     """
 
@@ -56,6 +57,7 @@
     max_connections: int
     grace_s: float
     retry_budget: RetryBudgetSettings
+    fair_share: bool = False
     read_limits: read_limits_module.ReadLimits = dataclasses.field(
         default_factory=read_limits_module.ReadLimits
     )
--- a/packages/policy/src/laburnumford_policy/placement/fair_admission.py
+++ b/packages/policy/src/laburnumford_policy/placement/fair_admission.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from laburnumford_policy.placement import (
+    displacement,
     fair_share,
     served_ratios,
     share_claim,
@@ -46,20 +47,31 @@
         entry: work_queue.WaitingRequest,
         claim: share_claim.ShareClaim,
         now: float,
+        *,
+        short: bool = False,
     ) -> work_queue.WaitingRequest:
         """Counts the arrival of a request; returns its entry with its place in the queue's order.
 
         Within a priority, requests of callers above their share go last. One of a starving class
-        is raised and keeps its place.
+        is raised and keeps its place. So does a call that a running request probably waits for:
+        it is short, and its caller has less time left than a new request of its class.
+
+        Args:
+            entry: the request.
+            claim: its claim.
+            now: current time.
+            short: whether its service time is short.
         """
-        self._ratios.observe_arrival(
-            entry.request_class, entry.priority, entry.deadline_s - now, now
-        )
+        remaining_s = entry.deadline_s - now
+        new = self._ratios.observe_arrival(entry.request_class, entry.priority, remaining_s, now)
         if self._ratios.is_starving(entry.request_class):
             priority = self._ratios.effective_priority(entry.request_class, entry.priority)
             return dataclasses.replace(entry, priority=priority, displaceable=False)
-        rank = self.excess(claim, now).rank if entry.displaceable else 0
-        return dataclasses.replace(entry, share_rank=rank) if rank else entry
+        return dataclasses.replace(
+            entry,
+            share_rank=self.excess(claim, now).rank,
+            displaceable=new or not short,
+        )
 
     def make_room(
         self,
@@ -67,7 +79,7 @@
         claim: share_claim.ShareClaim,
         now: float,
         fits: Callable[[int], bool],
-    ) -> list[work_queue.WaitingRequest]:
+    ) -> list[displacement.Displacement]:
         """Displaces requests so that another one can wait; returns them, none if that fails.
 
         Args:
@@ -84,31 +96,30 @@
             and other.priority == entry.priority
             and not (starving and self._ratios.is_starving(other.request_class))
         }
-        chosen: list[tuple[work_queue.WaitingRequest, share_claim.ShareClaim]] = []
+        chosen: list[displacement.Displacement] = []
         while len(chosen) < _MAX_DISPLACED:
             found = self._share.most_above(claim, candidate_by_id, now, starving=starving)
             if found is None:
                 break
-            removed = self._share.remove(found)
-            if removed is None:
-                break
-            chosen.append((candidate_by_id.pop(found), removed))
+            chosen.append(self._uncount(candidate_by_id.pop(found), now))
             if fits(len(chosen)):
-                return [self._displace(each, now) for each, _ in chosen]
-        for each, removed in chosen:
-            self._share.add(each.entry_id, removed)
+                for each in chosen:
+                    self._dequeue(each, now)
+                return chosen
+        for each in chosen:
+            self._share.add(each.entry.entry_id, each.claim)
         return []
 
     def crowd_out(
         self, now: float, end_s: Callable[[work_queue.WaitingRequest, int], float]
-    ) -> list[work_queue.WaitingRequest]:
+    ) -> list[displacement.Displacement]:
         """Displaces and returns requests above their share that would now be answered too late.
 
         Args:
             now: current time.
             end_s: returns the expected time of the answer to a request behind a number of others.
         """
-        displaced: list[work_queue.WaitingRequest] = []
+        displaced: list[displacement.Displacement] = []
         for position, entry in enumerate(self._queue.in_order(now)):
             if not entry.share_rank or not entry.displaceable:
                 continue
@@ -116,8 +127,8 @@
                 continue
             claim = self._share.claim_of(entry.entry_id)
             if claim is not None and self.excess(claim, now).level:
-                self._share.remove(entry.entry_id)
-                displaced.append(self._displace(entry, now))
+                displaced.append(self._uncount(entry, now))
+                self._dequeue(displaced[-1], now)
         return displaced
 
     def accept(
@@ -157,11 +168,14 @@
         """Returns by how much a request's class, VM or connection is above its share."""
         return self._share.excess(claim, now)
 
-    def claim_of(self, entry_id: int) -> share_claim.ShareClaim | None:
-        """Returns the claim of a request that waits or runs."""
-        return self._share.claim_of(entry_id)
-
-    def _displace(self, entry: work_queue.WaitingRequest, now: float) -> work_queue.WaitingRequest:
-        self._queue.remove(entry.entry_id)
-        self._ratios.observe_accepted(entry.request_class, now, withdrawn=True)
-        return entry
+    def _uncount(self, entry: work_queue.WaitingRequest, now: float) -> displacement.Displacement:
+        claim = self._share.claim_of(entry.entry_id)
+        if claim is None:
+            raise KeyError(f"request {entry.entry_id} waits but is not counted")
+        excess = self.excess(claim, now)
+        self._share.remove(entry.entry_id)
+        return displacement.Displacement(entry=entry, claim=claim, excess=excess)
+
+    def _dequeue(self, displaced: displacement.Displacement, now: float) -> None:
+        self._queue.remove(displaced.entry.entry_id)
+        self._ratios.observe_accepted(displaced.entry.request_class, now, withdrawn=True)
--- a/packages/policy/src/laburnumford_policy/placement/served_ratios.py
+++ b/packages/policy/src/laburnumford_policy/placement/served_ratios.py
@@ -35,8 +35,8 @@
 
     def observe_arrival(
         self, request_class: str, priority: int, remaining_s: float, now: float
-    ) -> None:
-        """Records a request that has arrived.
+    ) -> bool:
+        """Records a request that has arrived; returns whether it is new.
 
         Args:
             request_class: name of its route.
@@ -47,15 +47,16 @@
         counts = self._counts_by_class.get(request_class)
         if counts is None:
             if len(self._counts_by_class) >= _MAX_CLASSES:
-                return
+                return True
             counts = self._counts_by_class[request_class] = class_counts.ClassCounts(
                 priority=priority
             )
         counts.priority = priority
         if self._timeouts.elapsed_s(now, request_class, remaining_s):
-            return
+            return False
         for each in (counts, self._all):
             each.observe(now, arrived=1.0, accepted=0.0)
+        return True
 
     def observe_accepted(self, request_class: str, now: float, *, withdrawn: bool = False) -> None:
         """Records that a request was accepted, or that an accepted one will not run after all."""
--- a/packages/policy/src/laburnumford_policy/placement/tests/share_load.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/share_load.py
@@ -201,8 +201,9 @@
         if accepted is True:
             self.policy.queue.add(entry)
         for each in displaced:
-            self.outcome_by_name[self.attempt_by_id[each.entry_id].source.name].displaced += 1
-            self.refuse(each.entry_id, now)
+            displaced_id = each.entry.entry_id
+            self.outcome_by_name[self.attempt_by_id[displaced_id].source.name].displaced += 1
+            self.refuse(displaced_id, now)
         if not accepted:
             self.refuse(entry_id, now)
 
