--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -40,6 +40,7 @@
         grace_s: time between the signal to stop and the end of the process, in seconds.
         retry_budget: bound on retries.
         link_mbps: bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
+        fair_share: whether callers share the adjacent server fairly under overload.
         read_limits: limits on what is read from the backend server for one request.
     """
 
@@ -58,6 +59,7 @@
     grace_s: float
     retry_budget: RetryBudgetSettings
     link_mbps: float = 0.0
+    fair_share: bool = False
     read_limits: read_limits_module.ReadLimits = dataclasses.field(
         default_factory=read_limits_module.ReadLimits
     )
