Let lower priorities yield where a higher one is served worse

Change: with fair sharing, a class that is served better than one of a higher priority finds no room on a contended server until both are served alike; starving classes and short calls do not yield. Checks and counts of the local server are functions of their own, as the linter asks.

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -13,8 +13,8 @@
     event_log,
     frames,
     load_header,
-    server_coldness,
     metrics,
+    server_coldness,
     server_notice,
     server_rate_limit,
     server_request,
@@ -352,21 +352,7 @@
             RefusedError: this server cannot run the request or is not expected to answer in
                 time.
         """
-        if self.shutting_down:
-            raise errors.RefusedError("leaving")
-        if self._evacuated:
-            raise errors.RefusedError(_EVACUATED_REASON)
-        if self._is_drain_start_window_over(started_s):
-            raise errors.RefusedError("server-draining")
-        if started_s < self._down_until_s:
-            raise errors.RefusedError("server-down")
-        if request.server_id != self.server_id and not await self._is_current_server(
-            request.server_id
-        ):
-            raise errors.RefusedError("other-server")
-        if self._evacuated:
-            # The evacuation may have begun during the probe for the id of the server.
-            raise errors.RefusedError(_EVACUATED_REASON)
+        await self._check_available(request, started_s)
         if isinstance(request, frames.Request):
             self._rate_limit.observe_sender(request.server_id, request.rate_limit_per_s)
         self._service_times.expect(request.request_class, request.service_time_s)
@@ -396,15 +382,51 @@
         )
         if started_s + limit_wait_s + service_time_s > deadline_s:
             raise errors.RefusedError(_RATE_LIMIT_REASON, limit_wait_s)
-        if not offer_accepted and not self._queue.should_enqueue(
-            entry, started_s, wait_s, reserved, limit_wait_s
-        ):
-            retry_after_s = max(wait_s, limit_wait_s)
+        if offer_accepted:
+            return entry
+        retry_after_s = max(wait_s, limit_wait_s)
+        if self._must_yield(entry, service_time_s):
+            raise errors.RefusedError(_OVERLOADED_REASON, retry_after_s)
+        if not self._queue.should_enqueue(entry, started_s, wait_s, reserved, limit_wait_s):
             if self._share_gate is None:
                 raise errors.RefusedError(_OVERLOADED_REASON, retry_after_s)
             self._make_room(request, entry, service_time_s, retry_after_s)
         return entry
 
+    async def _check_available(
+        self, request: frames.Request | frames.Offer, started_s: float
+    ) -> None:
+        """Checks that the server that a request is for takes requests.
+
+        Raises:
+            RefusedError: it does not, or another server runs at its address.
+        """
+        if self.shutting_down:
+            raise errors.RefusedError("leaving")
+        if self._evacuated:
+            raise errors.RefusedError(_EVACUATED_REASON)
+        if self._is_drain_start_window_over(started_s):
+            raise errors.RefusedError("server-draining")
+        if started_s < self._down_until_s:
+            raise errors.RefusedError("server-down")
+        if request.server_id != self.server_id and not await self._is_current_server(
+            request.server_id
+        ):
+            raise errors.RefusedError("other-server")
+        if self._evacuated:
+            # The evacuation may have begun during the probe for the id of the server.
+            raise errors.RefusedError(_EVACUATED_REASON)
+
+    def _must_yield(self, entry: work_queue.WaitingRequest, service_time_s: float) -> bool:
+        """Returns whether a request leaves the server to a class of a higher priority.
+
+        Short requests are probably calls that a running request waits for.
+        """
+        if self._share_gate is None or self._is_short(service_time_s):
+            return False
+        contended = len(self._queue) > 0 or self.running >= self.limit
+        return contended and self._share_gate.must_yield(entry)
+
     def _make_room(
         self,
         request: frames.Request | frames.Offer,
@@ -579,11 +601,8 @@
                     server_request.encode(request, self._names, remaining_s),
                     request_id,
                 )
-            self.run_count += 1
-            if self._unreachable:
-                self._unreachable = False
-                self._log.write("server_regained", server=request.server_id)
             service_time_s = clock.now() - sent_s
+            self._observe_answered(request.server_id)
             if answer.status < 300 and slowness <= start_policy.SLOWNESS_THRESHOLD:
                 self._concurrency_limit.observe(
                     now=sent_s + service_time_s,
@@ -624,6 +643,12 @@
             if connection is not None:
                 self._pool.release(connection)
 
+    def _observe_answered(self, server_id: str) -> None:
+        self.run_count += 1
+        if self._unreachable:
+            self._unreachable = False
+            self._log.write("server_regained", server=server_id)
+
     async def _acquire_connection(
         self, request: frames.Request, request_id: bytes | None
     ) -> server_connection.ServerConnection:
--- a/packages/mesh/src/laburnumford_mesh/share_gate.py
+++ b/packages/mesh/src/laburnumford_mesh/share_gate.py
@@ -52,6 +52,10 @@
         """Returns the entry of a new request with its place in the order of the queue."""
         return self._admission.rank(entry, self._claim(request, cost_s), clock.now(), short=short)
 
+    def must_yield(self, entry: work_queue.WaitingRequest) -> bool:
+        """Returns whether a class of a higher priority is served worse than that of a request."""
+        return self._admission.must_yield(entry)
+
     def make_room(
         self,
         entry: work_queue.WaitingRequest,
--- a/packages/policy/src/laburnumford_policy/placement/fair_admission.py
+++ b/packages/policy/src/laburnumford_policy/placement/fair_admission.py
@@ -73,6 +73,10 @@
             displaceable=new or not short,
         )
 
+    def must_yield(self, entry: work_queue.WaitingRequest) -> bool:
+        """Returns whether a class of a higher priority is served worse than that of a request."""
+        return self._ratios.must_yield(entry.request_class, entry.priority)
+
     def make_room(
         self,
         entry: work_queue.WaitingRequest,
--- a/packages/policy/src/laburnumford_policy/placement/served_ratios.py
+++ b/packages/policy/src/laburnumford_policy/placement/served_ratios.py
@@ -14,6 +14,10 @@
 """Ratio to that of all classes below which a class counts as starving. The guaranteed ratio is
 0.25; the rest makes up for requests that are accepted but not served."""
 
+_PRIORITY_MARGIN = 0.02
+"""Difference of two ratios up to which classes count as equally served. Ratios of a few dozen
+requests differ by more than one request."""
+
 _MIN_REQUESTS = 4.0
 """Weighted number of requests below which a ratio says nothing."""
 
@@ -87,3 +91,19 @@
         ]
         found = max(higher, default=-math.inf)
         return priority if math.isinf(found) else int(found)
+
+    def must_yield(self, request_class: str, priority: int) -> bool:
+        """Returns whether a class is served better than one of a higher priority.
+
+        A class of a higher priority may have less time to wait, so that it finds no room in a
+        queue in which one of a lower priority still does.
+        """
+        counts = self._counts_by_class.get(request_class)
+        if counts is None or self.is_starving(request_class):
+            return False
+        return any(
+            other.priority < priority
+            and other.arrived >= _MIN_REQUESTS
+            and counts.ratio > other.ratio + _PRIORITY_MARGIN
+            for other in self._counts_by_class.values()
+        )
