--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	$(BIN)/mypy packages/*/src platform
 
 test: lint
-	$(BIN)/python -m pytest -q -n $(WORKERS)
+	$(BIN)/python -m pytest -q -n $(WORKERS) -m "not exclusive"
+	$(BIN)/python -m pytest -q -m exclusive
 
 demo: env
 	$(BIN)/python -m laburnumford_testkit.demo
