Refuse connections above the limit before anything is read

Cause: EdgeServer closed a connection above max_connections before asyncio had given it a transport, which had no effect. It was served, but neither swept nor drained. asyncio.Server also accepts its whole backlog before the first protocol exists, so that a burst held up to 1,024 descriptors more. Each of three listeners had the limit of the callers' listener.

Change: an acceptor of the mesh node closes connections above the limit on accept. The listeners for operators have a limit of their own, and the callers' listener leaves 15 % of the descriptors.

--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -97,7 +97,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and the address of the caller."""
         self._transport = cast(asyncio.Transport, transport)
-        self._remote_ip = str(transport.get_extra_info("peername")[0])
+        self._remote_ip = sockets.peer_ip(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -4,9 +4,9 @@
 import socket
 from collections.abc import Callable
 
-from laburnumford_mesh import clock, supervision
+from laburnumford_mesh import clock, event_log, supervision
 from laburnumford_mesh import limits as limits_module
-from laburnumford_mesh.http import buffer_budget, edge_connection
+from laburnumford_mesh.http import acceptor, buffer_budget, edge_connection, refusal_log
 
 _MAX_PENDING_CONNECTIONS = 1024
 """Backlog of the listening socket; all callers of a VM reconnect at the same time after an
@@ -28,7 +28,10 @@
         handler: answers a request.
         limits: returns the current limits.
         max_connections: largest number of open connections; more are closed on accept.
+        max_descriptors: number of open descriptors of the process above which accepting pauses;
+            None for no limit.
         max_buffer_bytes: total size of the request bodies that are buffered at a time.
+        log: structured log.
     """
 
     def __init__(
@@ -38,7 +41,9 @@
         handler: edge_connection.Handler,
         limits: Callable[[], limits_module.Limits],
         max_connections: int,
+        max_descriptors: int | None = None,
         max_buffer_bytes: int,
+        log: event_log.EventLog,
     ) -> None:
         self._address = address
         self._handler = handler
@@ -46,9 +51,10 @@
         self._max_connections = max_connections
         self._budget = buffer_budget.BufferBudget(max_bytes=max_buffer_bytes)
         self._connections: set[edge_connection.EdgeConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._max_descriptors = max_descriptors
+        self._refusals = refusal_log.RefusalLog(address=address, log=log)
+        self._acceptor: acceptor.Acceptor | None = None
         self._sweeper: asyncio.Task[None] | None = None
-        self.refused_connections = 0
 
     @property
     def in_flight_count(self) -> int:
@@ -60,12 +66,17 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def refused_count(self) -> int:
+        """Number of connections that were closed on accept."""
+        return self._refusals.count
+
     @property
     def port(self) -> int:
         """Port that the server listens on."""
-        if self._server is None:
+        if self._acceptor is None:
             raise RuntimeError(f"the server on {self._address} is not started")
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._acceptor.port
 
     async def start(self) -> None:
         """Starts to accept connections."""
@@ -73,9 +84,13 @@
         loop = asyncio.get_running_loop()
         listening = socket.create_server((host, int(port)), backlog=_MAX_PENDING_CONNECTIONS)
         listening.setblocking(False)
-        self._server = await loop.create_server(
-            self._accept, sock=listening, backlog=_MAX_PENDING_CONNECTIONS
+        self._acceptor = acceptor.Acceptor(
+            listening=listening,
+            make_protocol=self._make_connection,
+            on_refused=lambda: self._refusals.observe(len(self._connections)),
+            max_descriptors=self._max_descriptors,
         )
+        self._acceptor.start()
         self._sweeper = loop.create_task(
             supervision.keep_running(self._sweep, name=f"sweep of {self._address}")
         )
@@ -97,22 +112,21 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
             await asyncio.gather(self._sweeper, return_exceptions=True)
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
+            await self._acceptor.wait_closed()
         for connection in list(self._connections):
             connection.close()
 
-    def _accept(self) -> asyncio.BaseProtocol:
+    def _make_connection(self) -> edge_connection.EdgeConnection | None:
+        if len(self._connections) >= self._max_connections:
+            return None
         connection = edge_connection.EdgeConnection(
             handler=self._handler,
             limits=self._limits,
             on_closed=self._connections.discard,
             budget=self._budget,
         )
-        if len(self._connections) >= self._max_connections:
-            self.refused_connections += 1
-            asyncio.get_running_loop().call_soon(connection.close)
-            return connection
         self._connections.add(connection)
         return connection
 
--- a/packages/mesh/src/laburnumford_mesh/http/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/conftest.py
@@ -1,10 +1,11 @@
 """Fixtures of the tests of caller connections."""
 
 import asyncio
+import os
 
 import pytest
 
-from laburnumford_mesh import limits
+from laburnumford_mesh import event_log, limits
 from laburnumford_mesh.http import answer, edge_server
 
 SMALL_LIMITS = limits.Limits(
@@ -41,7 +42,7 @@
 class Edge:
     """Edge server whose handler waits for gates that a test opens, by path."""
 
-    def __init__(self):
+    def __init__(self, log):
         self.gate_by_path = {}
         self.requests = []
         self.cancelled = []
@@ -52,6 +53,7 @@
             limits=lambda: self.limits,
             max_connections=10,
             max_buffer_bytes=150_000,
+            log=log,
         )
 
     async def handle(self, received):
@@ -79,9 +81,17 @@
 
 
 @pytest.fixture
-async def edge():
+def log(tmp_path):
+    """Returns a structured log that writes to a file."""
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+    yield event_log.EventLog(node="n", descriptor=descriptor)
+    os.close(descriptor)
+
+
+@pytest.fixture
+async def edge(log):
     """Returns a started edge server."""
-    made = Edge()
+    made = Edge(log)
     await made.server.start()
     yield made
     await made.server.close()
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -36,7 +36,7 @@
 )
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import edge_server, request
+from laburnumford_mesh.http import edge_connection, edge_server, request
 from laburnumford_policy.placement import spread
 
 _LOG = logging.getLogger("laburnumford.mesh")
@@ -87,6 +87,10 @@
 _MAX_RECORDS_BYTES = 64 * 1024 * 1024
 """Bytes of the published values that another node sends: 10,000 entries of 500 bytes take 5 MB."""
 
+_CALLER_DESCRIPTOR_SHARE = 0.85
+"""Share of the descriptors in use above which callers are not accepted. The rest is left for
+operators and for connections that the node opens."""
+
 _NODE_ERROR_REASON = "node-error"
 """The node failed with an unexpected error, which its log has."""
 
@@ -185,7 +189,12 @@
             answer_pull=self._answer_pull,
         )
         self._gossip = gossip.Gossip(on_frame=self._handle_datagram)
-        self._edge_server = self._make_server(own_settings.edge_address, self._edge.handle)
+        self._edge_server = self._make_server(
+            own_settings.edge_address,
+            self._edge.handle,
+            max_connections=own_settings.max_connections,
+            descriptor_share=_CALLER_DESCRIPTOR_SHARE,
+        )
         self._ready_server = self._make_server(own_settings.ready_address, self._answer_ready)
         self._metrics_server = self._make_server(
             own_settings.metrics_address, self._answer_metrics
@@ -270,14 +279,25 @@
 
     # listeners
 
-    def _make_server(self, address: str, handler: Any) -> edge_server.EdgeServer:
+    def _make_server(
+        self,
+        address: str,
+        handler: edge_connection.Handler,
+        *,
+        max_connections: int | None = None,
+        descriptor_share: float = 1.0,
+    ) -> edge_server.EdgeServer:
+        """Returns a listener; without a limit on connections, one for operators."""
         own = self._settings
+        descriptors = own.max_descriptors
         return edge_server.EdgeServer(
             address=address,
             handler=handler,
             limits=self._limits,
-            max_connections=own.max_connections,
+            max_connections=max_connections or own.max_operator_connections,
+            max_descriptors=None if descriptors is None else int(descriptors * descriptor_share),
             max_buffer_bytes=int(own.memory_bytes * _MAX_BODY_MEMORY_SHARE),
+            log=self._log,
         )
 
     def _limits(self) -> limits_module.Limits:
@@ -303,6 +323,7 @@
                 "value_pulls_total": self._sync.pull_count,
                 "requests_in_work": self._edge_server.in_flight_count,
                 "caller_connections": self._edge_server.connection_count,
+                "caller_connections_refused_total": self._edge_server.refused_count,
                 "server_running": self._local.running,
                 "server_waiting": self._local.waiting,
                 "server_runs_total": self._local.run_count,
--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -36,7 +36,11 @@
         metrics_address: ``ip:port`` of the metrics page.
         store_address: ``ip:port`` of the key-value store.
         memory_bytes: bytes of memory that the process may use.
-        max_connections: largest number of caller connections on each listener.
+        max_connections: largest number of caller connections.
+        max_operator_connections: largest number of connections on each listener for operators
+            (readiness check and metrics page).
+        max_descriptors: largest number of file descriptors for connections; None for no limit
+            but that of the system.
         grace_s: time between the signal to stop and the end of the process, in seconds.
         retry_budget: bound on retries.
         read_limits: limits on what is read from the backend server for one request.
@@ -59,3 +63,5 @@
     read_limits: read_limits_module.ReadLimits = dataclasses.field(
         default_factory=read_limits_module.ReadLimits
     )
+    max_operator_connections: int = 64
+    max_descriptors: int | None = None
