Bound what is held for callers and close readers that do not read

Cause: answers were written to the transport without a limit, answers that wait for earlier ones were not counted, and reading went on from callers that did not read their answers.

Change: Node creates one BufferBudget for the callers' listener, of 35 % of the memory. Requests reserve 16 kB and their body, answers their size until the write buffer of the transport is empty (AnswerWriter). A caller that reads nothing for 6 s is closed; when memory is short, the one that is stalled longest first (CallerMemory). Progress is what the caller's system acknowledged. Reading pauses while an answer is unsent. The readiness check and the metrics page have a budget of their own.

--- a/packages/mesh/src/laburnumford_mesh/http/buffer_budget.py
+++ b/packages/mesh/src/laburnumford_mesh/http/buffer_budget.py
@@ -1,4 +1,4 @@
-"""Limit on the bodies that one kind of connection buffers at the same time."""
+"""Limit on the bytes that are buffered at the same time."""
 
 
 class BufferBudget:
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -6,7 +6,13 @@
 
 from laburnumford_mesh import clock, event_log, supervision
 from laburnumford_mesh import limits as limits_module
-from laburnumford_mesh.http import acceptor, buffer_budget, edge_connection, refusal_log
+from laburnumford_mesh.http import (
+    acceptor,
+    buffer_budget,
+    caller_memory,
+    edge_connection,
+    refusal_log,
+)
 
 _MAX_PENDING_CONNECTIONS = 1024
 """Backlog of the listening socket; all callers of a VM reconnect at the same time after an
@@ -30,7 +36,7 @@
         max_connections: largest number of open connections; more are closed on accept.
         max_descriptors: number of open descriptors of the process above which accepting pauses;
             None for no limit.
-        max_buffer_bytes: total size of the request bodies that are buffered at a time.
+        budget: limit on the bytes that are held for callers; other listeners may share it.
         log: structured log.
     """
 
@@ -42,15 +48,17 @@
         limits: Callable[[], limits_module.Limits],
         max_connections: int,
         max_descriptors: int | None = None,
-        max_buffer_bytes: int,
+        budget: buffer_budget.BufferBudget,
         log: event_log.EventLog,
     ) -> None:
         self._address = address
         self._handler = handler
         self._limits = limits
         self._max_connections = max_connections
-        self._budget = buffer_budget.BufferBudget(max_bytes=max_buffer_bytes)
         self._connections: set[edge_connection.EdgeConnection] = set()
+        self._memory = caller_memory.CallerMemory(
+            budget=budget, readers=self._connections, address=address, log=log
+        )
         self._max_descriptors = max_descriptors
         self._refusals = refusal_log.RefusalLog(address=address, log=log)
         self._acceptor: acceptor.Acceptor | None = None
@@ -71,6 +79,16 @@
         """Number of connections that were closed on accept."""
         return self._refusals.count
 
+    @property
+    def closed_reader_count(self) -> int:
+        """Number of connections that were closed because their callers did not read."""
+        return self._memory.closed_reader_count
+
+    @property
+    def dropped_answer_count(self) -> int:
+        """Number of answers that were dropped because memory was short."""
+        return self._memory.dropped_answer_count
+
     @property
     def port(self) -> int:
         """Port that the server listens on."""
@@ -125,7 +143,7 @@
             handler=self._handler,
             limits=self._limits,
             on_closed=self._connections.discard,
-            budget=self._budget,
+            memory=self._memory,
         )
         self._connections.add(connection)
         return connection
@@ -136,6 +154,9 @@
             now = clock.now()
             limits = self._limits()
             for connection in list(self._connections):
+                connection.observe_progress(now)
+                if connection.reading_paused:
+                    continue
                 started_s = connection.header_started_s
                 if started_s is not None and now - started_s > limits.header_timeout_s:
                     connection.reject_slow_header()
@@ -146,3 +167,4 @@
                     and now - connection.last_activity_s > limits.idle_timeout_s + _IDLE_SLACK_S
                 ):
                     connection.close()
+            self._memory.close_expired(now)
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -36,7 +36,7 @@
 )
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import edge_connection, edge_server, request
+from laburnumford_mesh.http import buffer_budget, edge_connection, edge_server, request
 from laburnumford_policy.placement import spread
 
 _LOG = logging.getLogger("laburnumford.mesh")
@@ -77,8 +77,13 @@
 _SUSPECT_BLOCK_S = 0.3
 """Seconds; by then the stream has been replaced or answers again."""
 
-_MAX_BODY_MEMORY_SHARE = 0.25
-"""Share of the memory for buffered request bodies; two nodes and socket buffers hold each body."""
+_BUFFER_MEMORY_SHARE = 0.35
+"""Share of the memory for what is held for callers: requests, and answers until they are sent. A
+body of 64 MB, the largest published one, fits where the memory is 200 MB."""
+
+_OPERATOR_BUFFER_BYTES = 2 * 1024 * 1024
+"""Held for operators, whose listeners answer when the memory for callers is used up. A metrics page
+has about 50 kB."""
 
 _MAX_ANSWER_MEMORY_SHARE = 0.2
 """Share of the memory for bodies of answers while they are received; each is copied once into the
@@ -189,10 +194,15 @@
             answer_pull=self._answer_pull,
         )
         self._gossip = gossip.Gossip(on_frame=self._handle_datagram)
+        self._buffer_budget = buffer_budget.BufferBudget(
+            max_bytes=int(own_settings.memory_bytes * _BUFFER_MEMORY_SHARE)
+        )
+        self._operator_budget = buffer_budget.BufferBudget(max_bytes=_OPERATOR_BUFFER_BYTES)
         self._edge_server = self._make_server(
             own_settings.edge_address,
             self._edge.handle,
             max_connections=own_settings.max_connections,
+            budget=self._buffer_budget,
             descriptor_share=_CALLER_DESCRIPTOR_SHARE,
         )
         self._ready_server = self._make_server(own_settings.ready_address, self._answer_ready)
@@ -285,9 +295,10 @@
         handler: edge_connection.Handler,
         *,
         max_connections: int | None = None,
+        budget: buffer_budget.BufferBudget | None = None,
         descriptor_share: float = 1.0,
     ) -> edge_server.EdgeServer:
-        """Returns a listener; without a limit on connections, one for operators."""
+        """Returns a listener; without limits of its own, one for operators."""
         own = self._settings
         descriptors = own.max_descriptors
         return edge_server.EdgeServer(
@@ -296,7 +307,7 @@
             limits=self._limits,
             max_connections=max_connections or own.max_operator_connections,
             max_descriptors=None if descriptors is None else int(descriptors * descriptor_share),
-            max_buffer_bytes=int(own.memory_bytes * _MAX_BODY_MEMORY_SHARE),
+            budget=budget or self._operator_budget,
             log=self._log,
         )
 
@@ -324,6 +335,8 @@
                 "requests_in_work": self._edge_server.in_flight_count,
                 "caller_connections": self._edge_server.connection_count,
                 "caller_connections_refused_total": self._edge_server.refused_count,
+                "slow_readers_closed_total": self._edge_server.closed_reader_count,
+                "answers_dropped_total": self._edge_server.dropped_answer_count,
                 "server_running": self._local.running,
                 "server_waiting": self._local.waiting,
                 "server_runs_total": self._local.run_count,
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -296,3 +296,16 @@
     _, _, text = await fleet.request(ip, "GET", "/metrics", "m", port=17002)
     assert b'laburnumford_answers_total{kind="200"} 1' in text
     assert b"laburnumford_answer_seconds" in text
+
+
+async def test_operators_are_answered_while_the_memory_for_callers_is_used_up(pair):
+    """Guards against callers that make the readiness check and the metrics page fail."""
+    fleet, (ip, _) = pair
+    budget = fleet.nodes[0]._buffer_budget
+    free_bytes = budget.max_bytes - budget.reserved_bytes
+    assert budget.reserve(free_bytes)
+    assert (await fleet.request(ip, "GET", "/get/1", "1"))[0] == 503
+    assert (await fleet.request(ip, "GET", "/", "r", port=17001))[0] == 200
+    assert (await fleet.request(ip, "GET", "/metrics", "m", port=17002))[0] == 200
+    budget.release(free_bytes)
+    assert (await fleet.request(ip, "GET", "/get/1", "2"))[0] == 200
