--- a/packages/mesh/src/laburnumford_mesh/http/acceptor.py
+++ b/packages/mesh/src/laburnumford_mesh/http/acceptor.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import logging
+import select
 import socket
 from collections.abc import Callable
 
@@ -58,6 +59,14 @@
         self._resume_handle = None
         self._loop.add_reader(self._listening.fileno(), self._accept_waiting)
 
+    def has_waiting(self) -> bool:
+        """Returns whether a connection waits to be accepted."""
+        if self._closed:
+            return False
+        poll = select.poll()
+        poll.register(self._listening, select.POLLIN)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Stops accepting and closes the listening socket."""
         if self._closed:
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -119,22 +119,33 @@
             connection.begin_drain()
 
     def is_idle(self) -> bool:
-        """Returns whether no request is in flight, partly received or unread in a socket."""
-        return all(
+        """Returns whether no request is in flight, partly received or unread in a socket.
+
+        A request whose answer is not completely passed to the system is in flight.
+        """
+        waiting = self._acceptor is not None and self._acceptor.has_waiting()
+        return not waiting and all(
             connection.idle and not connection.has_unread_bytes()
             for connection in self._connections
         )
 
+    def close_connections(self) -> None:
+        """Stops listening and closes all connections; nothing is read after the call."""
+        if self._acceptor is not None:
+            self._acceptor.close()
+        for connection in list(self._connections):
+            connection.close()
+
     async def close(self) -> None:
-        """Stops listening and closes all connections."""
+        """Closes all connections and waits for the tasks of the listener."""
+        self.close_connections()
         if self._sweeper is not None:
             self._sweeper.cancel()
             await asyncio.gather(self._sweeper, return_exceptions=True)
         if self._acceptor is not None:
-            self._acceptor.close()
             await self._acceptor.wait_closed()
-        for connection in list(self._connections):
-            connection.close()
+        # Connections whose transport was being created.
+        self.close_connections()
 
     def _make_connection(self) -> edge_connection.EdgeConnection | None:
         if len(self._connections) >= self._max_connections:
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -276,12 +276,15 @@
         self._log.write(
             "stop", in_work=self._edge_server.in_flight_count, took_s=clock.now() - started_s
         )
+        # Nothing is awaited between the check whether the node is idle and the end of reading, so
+        # that no request is read which nobody answers.
+        self._edge_server.close_connections()
+        await self._listener.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in (self._edge_server, self._ready_server, self._metrics_server):
             await server.close()
-        await self._listener.close()
         await self._peers.close()
         self._gossip.close()
         self._local.close()
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -165,19 +165,21 @@
         self._served_by_key[key] = served
         self._in_flight_count += 1
         served.task = asyncio.get_running_loop().create_task(self._run_call(key, served, request))
+        # A task that is cancelled before its first step runs nothing of the coroutine.
+        served.task.add_done_callback(lambda _: self._finish_call(served))
 
     async def _run_call(
         self, key: tuple[int, int], served: _ServedCall, request: frames.Request | frames.Offer
     ) -> None:
-        try:
-            served.answer = await self._run(request)
-            self._send(key, served.answer)
-        finally:
-            self._in_flight_count -= 1
-            served.task = None
-            served.expires_s = max(served.expires_s, clock.now() + _CALL_RETENTION_S)
-            served.body_bytes = len(getattr(served.answer, "body", b""))
-            self._retained_body_bytes += served.body_bytes
+        served.answer = await self._run(request)
+        self._send(key, served.answer)
+
+    def _finish_call(self, served: _ServedCall) -> None:
+        self._in_flight_count -= 1
+        served.task = None
+        served.expires_s = max(served.expires_s, clock.now() + _CALL_RETENTION_S)
+        served.body_bytes = len(getattr(served.answer, "body", b""))
+        self._retained_body_bytes += served.body_bytes
 
     def _send(self, key: tuple[int, int], answer: Any) -> None:
         target_link = self._link_by_incarnation.get(key[0])
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -1,6 +1,7 @@
 """Tests of whole nodes in one process: requests, server discovery, configuration and stop."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -269,6 +270,35 @@
     assert not any("late" in backend.runs for backend in fleet.backends)
 
 
+async def test_no_request_is_read_after_the_node_was_found_idle(pair):
+    """Guards against a request that is passed on and cut, since the stop had found no work.
+
+    The tasks of the node took time to end, and its connections were read until then (review).
+    """
+    fleet, (ip, _) = pair
+    ending = asyncio.Event()
+
+    async def end_slowly():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ending.set()
+            await asyncio.sleep(0.3)
+
+    fleet.nodes[0]._tasks.append(asyncio.create_task(end_slowly()))
+    reader, writer = await asyncio.open_connection(ip, 17000)
+    await asyncio.sleep(0.1)
+    fleet.nodes[0].request_stop()
+    await ending.wait()
+    with contextlib.suppress(ConnectionError):
+        writer.write(
+            b"POST /post/1 HTTP/1.1\r\nHost: h\r\nX-Id: late\r\nContent-Length: 0\r\n\r\n"
+        )
+        assert await reader.read() == b""
+    writer.close()
+    assert not any("late" in backend.runs for backend in fleet.backends)
+
+
 async def test_server_of_stopping_node_still_gets_requests(pair):
     """Guards against losing the capacity of a server while only its node restarts.
 
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -10,7 +10,7 @@
 import pytest
 
 from laburnumford_mesh import errors, frames, peer, peer_listener
-from laburnumford_mesh.tests import waiting
+from laburnumford_mesh.tests import conftest, waiting
 from laburnumford_testkit.faultproxy import faults, proxy
 
 LOAD = frames.LoadReport("a", 1, 0, 0, 4, 1.0, 0.0, 0.0)
@@ -281,3 +281,16 @@
     call.cancel()
     await waiting.until(lambda: receiver.listener.in_flight_count == 0)
     await sender.close()
+
+
+async def test_call_that_is_cancelled_on_arrival_is_not_counted(receiver):
+    """Guards against a node that takes the whole grace time to stop with nothing in work."""
+    _, writer = await asyncio.open_connection("127.0.0.1", receiver.port)
+    request = conftest.make_request()
+    received = [frames.Hello(5, False), request, frames.Cancel(request.call_id)]
+    writer.write(b"".join(frames.encode_for_stream(frame) for frame in received))
+    listener = receiver.listener
+    await waiting.until(lambda: listener._served_by_key)
+    await waiting.until(lambda: listener.in_flight_count == 0)
+    assert receiver.runs == []
+    writer.close()
