--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -38,7 +38,7 @@
 )
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import buffer_budget, edge_server, request
+from laburnumford_mesh.http import buffer_budget, edge_connection, edge_server, request
 from laburnumford_policy.placement import spread
 
 _LOG = logging.getLogger("laburnumford.mesh")
@@ -79,9 +79,17 @@
 _SUSPECT_BLOCK_S = 0.3
 """Seconds; by then the stream has been replaced or answers again."""
 
+_OPERATOR_BUFFER_BYTES = 2 * 1024 * 1024
+"""Held for operators, whose listeners answer when the memory for callers is used up. A metrics page
+has about 50 kB."""
+
 _MAX_RECORDS_BYTES = 64 * 1024 * 1024
 """Bytes of the published values that another node sends: 10,000 entries of 500 bytes take 5 MB."""
 
+_CALLER_DESCRIPTOR_SHARE = 0.85
+"""Share of the descriptors in use above which callers are not accepted. The rest is left for
+operators and for connections that the node opens."""
+
 _NODE_ERROR_REASON = "node-error"
 """The node failed with an unexpected error, which its log has."""
 
@@ -195,7 +203,14 @@
             budget=self._budget,
         )
         self._gossip = gossip.Gossip(on_frame=self._handle_datagram)
-        self._edge_server = self._make_server(own_settings.edge_address, self._edge.handle)
+        self._operator_budget = buffer_budget.BufferBudget(max_bytes=_OPERATOR_BUFFER_BYTES)
+        self._edge_server = self._make_server(
+            own_settings.edge_address,
+            self._edge.handle,
+            max_connections=own_settings.max_connections,
+            budget=self._budget,
+            descriptor_share=_CALLER_DESCRIPTOR_SHARE,
+        )
         self._ready_server = self._make_server(own_settings.ready_address, self._answer_ready)
         self._metrics_server = self._make_server(
             own_settings.metrics_address, self._answer_metrics
@@ -267,12 +282,15 @@
         self._log.write(
             "stop", in_work=self._edge_server.in_flight_count, took_s=clock.now() - started_s
         )
+        # Nothing is awaited between the check whether the node is idle and the end of reading, so
+        # that no request is read which nobody answers.
+        self._edge_server.close_connections()
+        await self._listener.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in (self._edge_server, self._ready_server, self._metrics_server):
             await server.close()
-        await self._listener.close()
         await self._peers.close()
         self._gossip.close()
         self._local.close()
@@ -280,14 +298,26 @@
 
     # listeners
 
-    def _make_server(self, address: str, handler: Any) -> edge_server.EdgeServer:
+    def _make_server(
+        self,
+        address: str,
+        handler: edge_connection.Handler,
+        *,
+        max_connections: int | None = None,
+        budget: buffer_budget.BufferBudget | None = None,
+        descriptor_share: float = 1.0,
+    ) -> edge_server.EdgeServer:
+        """Returns a listener; without limits of its own, one for operators."""
         own = self._settings
+        descriptors = own.max_descriptors
         return edge_server.EdgeServer(
             address=address,
             handler=handler,
             limits=self._limits,
-            max_connections=own.max_connections,
-            budget=self._budget,
+            max_connections=max_connections or own.max_operator_connections,
+            max_descriptors=None if descriptors is None else int(descriptors * descriptor_share),
+            budget=budget or self._operator_budget,
+            log=self._log,
         )
 
     def _limits(self) -> limits_module.Limits:
@@ -315,6 +345,9 @@
                 "requests_in_work": self._edge_server.in_flight_count,
                 "caller_connections": self._edge_server.connection_count,
                 "server_cold": float(self._local.cold),
+                "caller_connections_refused_total": self._edge_server.refused_count,
+                "slow_readers_closed_total": self._edge_server.closed_reader_count,
+                "answers_dropped_total": self._edge_server.dropped_answer_count,
                 "server_running": self._local.running,
                 "server_waiting": self._local.waiting,
                 "server_runs_total": self._local.run_count,
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -8,7 +8,7 @@
 import pytest
 
 from laburnumford_mesh import errors, frames, offered_bodies, peer
-from laburnumford_mesh.tests import call_ends, waiting
+from laburnumford_mesh.tests import call_ends, conftest, waiting
 from laburnumford_testkit.faultproxy import faults, proxy
 
 
@@ -266,3 +266,16 @@
     assert (await call).status == 200
     assert receiver.budget.reserved_bytes == len(b"x")
     await sender.close()
+
+
+async def test_call_that_is_cancelled_on_arrival_is_not_counted(receiver):
+    """Guards against a node that takes the whole grace time to stop with nothing in work."""
+    _, writer = await asyncio.open_connection("127.0.0.1", receiver.port)
+    request = conftest.make_request()
+    received = [frames.Hello(5, False), request, frames.Cancel(request.call_id)]
+    writer.write(b"".join(frames.encode_for_stream(frame) for frame in received))
+    listener = receiver.listener
+    await waiting.until(lambda: listener._served_by_key)
+    await waiting.until(lambda: listener.in_flight_count == 0)
+    assert receiver.runs == []
+    writer.close()
