Write large bodies to the server piece by piece

Cause: a request was encoded with its body, which copied the body, and written at once, which copied it again for a server that reads slowly. Change: a BodyWriter passes pieces of 64 KB to the transport while it takes them; small bodies are written at once with the header section as before. A connection is reusable only after the complete body. A server still gets no more bodies than requests that it runs; a test guards this.

--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -7,7 +7,7 @@
 
 from laburnumford_mesh import clock
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import buffer_budget, read_limits, read_meter
+from laburnumford_mesh.http import body_writer, buffer_budget, read_limits, read_meter
 from laburnumford_node.http import errors, fields, parsing
 
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -55,6 +55,7 @@
         self._budget = budget
         self._id_field = id_field
         self._meter = read_meter.ReadMeter()
+        self._writer = body_writer.BodyWriter()
         self._reserved_bytes = 0
         self._field_count = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -115,10 +116,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the current exchange."""
         self._lost = True
+        self._writer.stop()
         self._fail(
             errors.TruncatedError(f"connection closed before the answer was complete: {exc}")
         )
 
+    def pause_writing(self) -> None:
+        """Makes the rest of the body wait while the server is slow."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Continues to write the body."""
+        self._writer.resume()
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -195,6 +205,7 @@
             and not self._not_reusable
             and self.request_count < _MAX_REQUESTS
             and not self._eof
+            and self._writer.finished
             and self._transport is not None
             and not self._transport.is_closing()
             and self._transport.get_write_buffer_size() == 0
@@ -216,15 +227,18 @@
         return request_id in self._sent_ids
 
     async def send(
-        self, method: bytes, encoded: bytes, expected_id: bytes | None = None
+        self, method: bytes, head: bytes, expected_id: bytes | None = None, body: bytes = b""
     ) -> answers.Answer:
-        """Sends an encoded request and returns the complete answer.
+        """Sends a request and returns the complete answer.
+
+        The answer may come before the body is written completely. The connection is then closed.
 
         Args:
             method: request method.
-            encoded: header section and body of the request.
+            head: encoded header section of the request.
             expected_id: request id that the answer must carry; None for a request without an id,
                 whose answer must carry none.
+            body: body of the request.
 
         Raises:
             ConnectionClosedError: the connection closed before the request was written.
@@ -242,11 +256,12 @@
         self.request_count += 1
         if expected_id is not None:
             self._sent_ids.add(expected_id)
-        self._transport.write(encoded)
+        self._writer.start(self._transport, head, body)
         return await self._waiter
 
     def close(self) -> None:
         """Closes the connection at once, which fails the current exchange."""
+        self._writer.stop()
         if self._transport is not None:
             self._transport.abort()
 
@@ -276,11 +291,18 @@
                 status=self._parser.get_status_code(),
                 reason=self._reason,
                 fields=self._fields,
-                body=bytes(self._body),
+                body=self._take_body(),
             )
         )
         self._release_body()
 
+    def _take_body(self) -> bytes:
+        """Returns the body; the buffer of a large one itself, since a copy doubles its memory."""
+        if len(self._body) <= buffer_budget.SMALL_BODY_BYTES:
+            return bytes(self._body)
+        body, self._body = self._body, bytearray()
+        return cast(bytes, body)
+
     def _check_body_size(self, more_bytes: int) -> None:
         size = self._meter.body_bytes + more_bytes
         if size > self._limits.body_bytes:
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -423,8 +423,9 @@
             async with asyncio.timeout(remaining_s + _DEADLINE_GRACE_S):
                 answer = await connection.send(
                     request.method,
-                    server_request.encode(request, self._names, remaining_s),
+                    server_request.encode_head(request, self._names, remaining_s),
                     request_id,
+                    request.body,
                 )
             self.run_count += 1
             if self._unreachable:
--- a/packages/mesh/src/laburnumford_mesh/server_request.py
+++ b/packages/mesh/src/laburnumford_mesh/server_request.py
@@ -7,8 +7,8 @@
 """Methods whose requests have a Content-Length field only if they have a body."""
 
 
-def encode(request: frames.Request, names: wire_names.WireNames, remaining_s: float) -> bytes:
-    """Returns the HTTP/1.1 encoding of a request.
+def encode_head(request: frames.Request, names: wire_names.WireNames, remaining_s: float) -> bytes:
+    """Returns the HTTP/1.1 encoding of the header section of a request.
 
     Args:
         request: the request.
@@ -23,4 +23,4 @@
     if request.body or request.method not in _BODYLESS_METHODS:
         head.append((b"content-length", str(len(request.body)).encode()))
     start_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-    return fields.encode(start_line, head) + request.body
+    return fields.encode(start_line, head)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -405,3 +405,38 @@
     await asyncio.sleep(0.5)
     assert isinstance(await local.run(conftest.make_request("1")), frames.Answer)
     assert local.malformed_field_count >= 1
+
+
+async def test_server_gets_no_more_large_bodies_than_it_runs(local, backend):
+    """Guards against a server that is sent more bodies at once than its memory holds.
+
+    The others wait in this node, where they are counted.
+    """
+    backend.gate.clear()
+    runs = [
+        asyncio.create_task(
+            local.run(conftest.make_request(str(index), body=bytes(90_000), soft_remaining_s=2.0))
+        )
+        for index in range(2 * conftest.SLOTS)
+    ]
+    await waiting.until(lambda: len(backend.runs) == local.limit and local.waiting)
+    await asyncio.sleep(0.05)
+    assert len(backend.runs) == local.limit <= conftest.SLOTS
+    backend.gate.set()
+    results = await asyncio.gather(*runs)
+    served = [each for each in results if isinstance(each, frames.Answer)]
+    assert len(served) == len(backend.runs)
+
+
+async def test_body_of_a_running_exchange_is_counted_after_its_caller_has_left(local, backend):
+    """Guards against memory that counts as free while a request that must not run twice uses it."""
+    backend.gate.clear()
+    run = asyncio.create_task(
+        local.run(conftest.make_request(body=bytes(90_000), idempotent=False))
+    )
+    await waiting.until(lambda: backend.runs)
+    run.cancel()
+    await asyncio.wait({run})
+    assert local._budget.reserved_bytes == 90_000
+    backend.gate.set()
+    await waiting.until(lambda: not local._budget.reserved_bytes)
