Free the memory of a call that is cancelled before its task starts

Cause: a call whose Cancel is in the same read as its last bytes is cancelled before its task starts, so the clean-up in the coroutine did not run; the body stayed reserved and the call counted as in flight for good. Measured: the new test fails without the change and passes with it; 33 tests of calls between nodes passed.

--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -251,6 +251,8 @@
         self._expire_calls()
         served = self._served_by_key.get(key)
         if served is not None:
+            if reserved:
+                self._release(key, request, None)
             if served.answer is not None:
                 self._send(key, served.answer)
             return
@@ -261,19 +263,23 @@
         self._served_by_key[key] = served
         self._in_flight_count += 1
         served.task = asyncio.get_running_loop().create_task(self._run_call(key, served, request))
+        # A task that is cancelled before it starts does not run its clean-up.
+        served.task.add_done_callback(lambda _: self._end_call(key, served, request))
 
     async def _run_call(
         self, key: Key, served: _ServedCall, request: frames.Request | frames.Offer
     ) -> None:
-        try:
-            served.answer = await self._run(request)
-            self._send(key, served.answer)
-        finally:
-            self._release(key, request, served.answer)
-            self._in_flight_count -= 1
-            served.task = None
-            served.expires_s = max(served.expires_s, clock.now() + _CALL_RETENTION_S)
-            self._retain(served)
+        served.answer = await self._run(request)
+        self._send(key, served.answer)
+
+    def _end_call(
+        self, key: Key, served: _ServedCall, request: frames.Request | frames.Offer
+    ) -> None:
+        self._release(key, request, served.answer)
+        self._in_flight_count -= 1
+        served.task = None
+        served.expires_s = max(served.expires_s, clock.now() + _CALL_RETENTION_S)
+        self._retain(served)
 
     def _retain(self, served: _ServedCall) -> None:
         """Counts the body of an answer, which is held until it is received or expires."""
--- a/packages/mesh/src/laburnumford_mesh/tests/test_bodies_in_chunks.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_bodies_in_chunks.py
@@ -259,3 +259,14 @@
     send(request)
     await waiting.until(lambda: _of_type(received, frames.Answer))
     assert _of_type(received, frames.Answer)[0].body == BODY
+
+
+async def test_call_that_is_cancelled_in_the_same_read_frees_its_body(receiver, raw):
+    """Guards against memory, and a call in flight, that stay when a task never starts."""
+    send, received, _ = raw
+    send(_large_request(1, 30_000))
+    await waiting.until(lambda: _of_type(received, frames.BodyGrant))
+    send(frames.BodyChunk(1, 0, memoryview(bytes(30_000))))
+    send(frames.Cancel(1))
+    await waiting.until(lambda: not receiver.budget.reserved_bytes)
+    await waiting.until(lambda: receiver.listener.in_flight_count == 0)
