Merge the bounds on caller connections and on bodies between nodes

Cause: both parts pass one budget to the listener of the callers. Change: the listener reserves from the budget of the process and states the size of a request's body and what is an answer, so that the part for small bodies holds for callers too.

--- a/packages/mesh/src/laburnumford_mesh/http/caller_memory.py
+++ b/packages/mesh/src/laburnumford_mesh/http/caller_memory.py
@@ -1,6 +1,6 @@
 """Memory of one listener's callers: reservations, and the choice of readers that are closed."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
 from laburnumford_mesh import clock, event_log
@@ -66,13 +66,21 @@
         self.closed_reader_count = 0
         self.dropped_answer_count = 0
 
-    def reserve_request(self, size: int) -> bool:
+    def reserve_request(self, size: int, body_bytes: int = 0) -> bool:
         """Reserves bytes of a request, if need be by closing stalled readers.
 
+        Args:
+            size: number of bytes.
+            body_bytes: size of the body that they are part of, as far as it was received.
+
         Returns:
             Whether they are reserved. If not, the request can be rejected, since it has not run.
         """
-        return self._budget.reserve(size) or self._close_stalled(size)
+
+        def reserve() -> bool:
+            return self._budget.reserve(size, body_bytes=body_bytes)
+
+        return reserve() or self._close_stalled(reserve)
 
     def reserve_answer(self, size: int) -> int | None:
         """Reserves bytes of an answer that was received.
@@ -84,7 +92,11 @@
             The number of bytes to release later, or None if there is no space.
         """
         counted = min(size, int(self._budget.max_bytes * _MAX_ANSWER_SHARE))
-        if self.reserve_request(counted) or self._close_largest(counted):
+
+        def reserve() -> bool:
+            return self._budget.reserve(counted, answer=True)
+
+        if reserve() or self._close_stalled(reserve) or self._close_largest(counted, reserve):
             return counted
         self.dropped_answer_count += 1
         return None
@@ -99,25 +111,27 @@
             if reader.stalled_s(now) > _MAX_STALL_S:
                 self._close(reader, now, "stalled")
 
-    def _close_stalled(self, size: int) -> bool:
+    def _close_stalled(self, reserve: Callable[[], bool]) -> bool:
         """Reserves bytes by closing stalled readers, longest first; returns whether it could."""
         now = clock.now()
         stalled = [
             reader for reader in self._readers if reader.stalled_s(now) >= _SHORTAGE_STALL_S
         ]
         stalled.sort(key=lambda reader: reader.stalled_s(now), reverse=True)
-        return self._close_until_reserved(stalled, size, now)
+        return self._close_until_reserved(stalled, reserve, now)
 
-    def _close_largest(self, size: int) -> bool:
-        """Reserves bytes by closing the readers that hold more; returns whether it could."""
+    def _close_largest(self, size: int, reserve: Callable[[], bool]) -> bool:
+        """Reserves bytes by closing the readers that hold more than `size`."""
         larger = [reader for reader in self._readers if reader.held_answer_bytes > size]
         larger.sort(key=lambda reader: reader.held_answer_bytes, reverse=True)
-        return self._close_until_reserved(larger, size, clock.now())
+        return self._close_until_reserved(larger, reserve, clock.now())
 
-    def _close_until_reserved(self, readers: Sequence[Reader], size: int, now: float) -> bool:
+    def _close_until_reserved(
+        self, readers: Sequence[Reader], reserve: Callable[[], bool], now: float
+    ) -> bool:
         for reader in readers:
             self._close(reader, now, "memory")
-            if self._budget.reserve(size):
+            if reserve():
                 return True
         return False
 
--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -219,7 +219,7 @@
         """Appends a part of the body."""
         if self._body_bytes + len(data) > self._limits().body_bytes:
             raise errors.BadMessageError(413, "body exceeds the size limit")
-        self._reserve_request(len(data))
+        self._reserve_request(len(data), body_bytes=self._body_bytes + len(data))
         self._meter.observe_body(len(data))
         self._body_bytes += len(data)
         self._body.write(data)
@@ -432,8 +432,8 @@
         self._pending.append(pending)
         self._flush()
 
-    def _reserve_request(self, size: int) -> None:
-        if not self._memory.reserve_request(size):
+    def _reserve_request(self, size: int, body_bytes: int = 0) -> None:
+        if not self._memory.reserve_request(size, body_bytes):
             raise errors.BadMessageError(503, "request buffer is full: nothing can be stored")
         self._request_bytes += size
 
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -598,8 +598,9 @@
             async with asyncio.timeout(remaining_s + _DEADLINE_GRACE_S):
                 answer = await connection.send(
                     request.method,
-                    server_request.encode(request, self._names, remaining_s),
+                    server_request.encode_head(request, self._names, remaining_s),
                     request_id,
+                    request.body,
                 )
             service_time_s = clock.now() - sent_s
             self._observe_answered(request.server_id)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_arbitrary_bytes.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_arbitrary_bytes.py
@@ -70,9 +70,6 @@
         """Returns False."""
         return False
 
-    def set_write_buffer_limits(self, high=None, low=None):
-        """Does nothing."""
-
     def get_write_buffer_size(self):
         """Returns 0."""
         return 0
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -331,9 +331,9 @@
 async def test_operators_are_answered_while_the_memory_for_callers_is_used_up(pair):
     """Guards against callers that make the readiness check and the metrics page fail."""
     fleet, (ip, _) = pair
-    budget = fleet.nodes[0]._buffer_budget
+    budget = fleet.nodes[0]._budget
     free_bytes = budget.max_bytes - budget.reserved_bytes
-    assert budget.reserve(free_bytes)
+    budget.take(free_bytes)
     assert (await fleet.request(ip, "GET", "/get/1", "1"))[0] == 503
     assert (await fleet.request(ip, "GET", "/", "r", port=17001))[0] == 200
     assert (await fleet.request(ip, "GET", "/metrics", "m", port=17002))[0] == 200
