Order published values by the era of the store

Cause: a store that comes back from an older copy uses its revisions again. Nodes compared revisions alone: they ignored new values, kept values that the store had replaced, or dropped what the store had lost.

Change: records, digests, pulls and their answers carry the era; values are ordered by era and revision. A new era begins with a full read. Records that the store has lost stay in force for 6 s, also in nodes that start in that time, so an evacuation is not forgotten. Older configurations and server entries do not undo newer ones.

--- a/packages/mesh/src/laburnumford_mesh/directory.py
+++ b/packages/mesh/src/laburnumford_mesh/directory.py
@@ -131,7 +131,9 @@
         expired = [key for key, until_s in self._retained_until_by_key.items() if now >= until_s]
         for key in expired:
             del self._retained_until_by_key[key]
-            self._entry_by_key.pop(key, None)
+            entry = self._entry_by_key.pop(key, None)
+            if entry is not None:
+                self._remember_removed(key, entry)
         if self._evacuations.sweep() or expired:
             self._on_change()
 
--- a/packages/mesh/src/laburnumford_mesh/frames.py
+++ b/packages/mesh/src/laburnumford_mesh/frames.py
@@ -152,9 +152,15 @@
 
 
 class Pull(msgspec.Struct, array_like=True, frozen=True, tag=8):
-    """Asks for the published values that changed after a revision."""
+    """Asks for the published values that changed after a revision.
+
+    Attributes:
+        revision: revision up to which the sender's values are complete.
+        era: era of the store to which the revision belongs.
+    """
 
     revision: int
+    era: int = 0
 
 
 class PullResponse(msgspec.Struct, array_like=True, frozen=True, tag=9):
@@ -165,12 +171,14 @@
         age_s: seconds since the sender last knew that its values were current.
         is_snapshot: whether the records are all that the sender has.
         compressed_records: list of records, encoded with msgpack and compressed with zlib.
+        era: era of the store to which the revision belongs.
     """
 
     revision: int
     age_s: float
     is_snapshot: bool
     compressed_records: bytes
+    era: int = 0
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True, tag=10):
@@ -182,12 +190,14 @@
         age_s: seconds since the sender last knew that its values were current.
         history_revision: revision since which the sender knows all changes; receivers at an older
             one would get a snapshot.
+        era: era of the store to which both revisions belong.
     """
 
     incarnation: int
     revision: int
     age_s: float
     history_revision: int = 0
+    era: int = 0
 
 
 class LoadUpdate(msgspec.Struct, array_like=True, frozen=True, tag=11):
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -303,6 +303,7 @@
                 "zones_evacuated": len(self._directory.evacuated_zones),
                 "version": 0 if current is None else current.version,
                 "values_age_seconds": min(self._sync.age_s(), 1e6),
+                "store_era": self._sync.era,
                 "store_reads_total": self._sync.read_count,
                 "value_pulls_total": self._sync.pull_count,
                 "requests_in_work": self._edge_server.in_flight_count,
@@ -387,13 +388,14 @@
         ordered = sorted(ips, key=lambda ip: hashlib.blake2b(ip.encode()).digest())
         return ordered.index(self._settings.ip)
 
-    def _answer_pull(self, revision: int) -> frames.PullResponse:
-        records, is_snapshot = self._sync.changes_since(revision)
+    def _answer_pull(self, pull: frames.Pull) -> frames.PullResponse:
+        records, is_snapshot = self._sync.changes_since(pull.revision, pull.era)
         return frames.PullResponse(
             self._sync.revision,
             min(self._sync.age_s(), 1e6),
             is_snapshot,
             zlib.compress(msgspec.msgpack.encode(records), _COMPRESSION_LEVEL),
+            self._sync.era,
         )
 
     def _handle_pull_response(self, ip: str, response: frames.PullResponse) -> None:
@@ -408,6 +410,7 @@
             response.age_s,
             is_snapshot=response.is_snapshot,
             peer=ip,
+            era=response.era,
         )
 
     # messages between nodes
@@ -423,16 +426,23 @@
         if self._incarnation_by_ip.get(ip) != frame.incarnation:
             self._incarnation_by_ip[ip] = frame.incarnation
             self._services.unblock(ip)
-        if self._sync.observe_peer_revision(frame.revision, frame.age_s, frame.history_revision):
-            if self._sync.should_pull(frame.revision):
-                self._peers.get(ip).pull(self._sync.revision)
-        elif spread.should_reply(
+        if self._sync.observe_peer_revision(
+            frame.revision, frame.age_s, frame.history_revision, frame.era
+        ):
+            if self._sync.should_pull(frame.revision, frame.era):
+                self._peers.get(ip).pull(self._sync.wanted())
+        elif self._should_reply(frame):
+            self._gossip.send((ip, self._settings.peer_port), self._digest())
+
+    def _should_reply(self, frame: frames.Digest) -> bool:
+        if frame.era != self._sync.era:
+            return self._sync.era > frame.era
+        return spread.should_reply(
             own_revision=self._sync.revision,
             own_age_s=self._sync.age_s(),
             peer_revision=frame.revision,
             peer_age_s=frame.age_s,
-        ):
-            self._gossip.send((ip, self._settings.peer_port), self._digest())
+        )
 
     def _handle_go_away(self, ip: str) -> None:
         self._services.block(ip, _GO_AWAY_BLOCK_S)
@@ -447,6 +457,7 @@
             self._sync.revision,
             min(self._sync.age_s(), 1e6),
             self._sync.history_revision,
+            self._sync.era,
         )
 
     def _gossip_digest(self, count: int) -> None:
@@ -473,6 +484,7 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self._local.sweep()
+            self._sync.sweep()
             self._directory.sweep()
 
 
--- a/packages/mesh/src/laburnumford_mesh/peer.py
+++ b/packages/mesh/src/laburnumford_mesh/peer.py
@@ -86,7 +86,7 @@
         self._last_used_s = clock.now()
         self._last_ping_s = 0.0
         self._last_check_s = clock.now()
-        self._pending_pull_revision: int | None = None
+        self._pending_pull: frames.Pull | None = None
         self._closed = False
         self.unreachable = False
         """Whether the last attempt to connect failed."""
@@ -140,13 +140,13 @@
         finally:
             self._pending_by_id.pop(frame.call_id, None)
 
-    def pull(self, revision: int) -> None:
-        """Asks the node for the published values that changed after a revision."""
+    def pull(self, wanted: frames.Pull) -> None:
+        """Asks the node for published values."""
         self._last_used_s = clock.now()
         if self._link is not None and self._link.peer_incarnation is not None:
-            self._link.send(frames.Pull(revision))
+            self._link.send(wanted)
             return
-        self._pending_pull_revision = revision
+        self._pending_pull = wanted
         self._ensure_connected()
 
     def drop_stream(self) -> None:
@@ -212,7 +212,7 @@
             await asyncio.sleep(_RECONNECT_INTERVAL_S)
         # The next call or pull tries again.
         self.unreachable = False
-        self._pending_pull_revision = None
+        self._pending_pull = None
 
     async def _connect(self) -> bool:
         host, _, port = self.address.rpartition(":")
@@ -273,9 +273,9 @@
                 self._fail(pending, errors.UnknownOutcomeError("peer-restarted"))
             else:
                 self._send(pending)
-        if self._pending_pull_revision is not None:
-            connected.send(frames.Pull(self._pending_pull_revision))
-            self._pending_pull_revision = None
+        if self._pending_pull is not None:
+            connected.send(self._pending_pull)
+            self._pending_pull = None
 
     def _refuse_unsent(self) -> None:
         for pending in list(self._pending_by_id.values()):
--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -52,7 +52,7 @@
         address: ``ip:port``.
         incarnation: random number of this start of the node.
         run: runs a request or decides on an offer.
-        answer_pull: returns the answer to a pull after a revision.
+        answer_pull: returns the answer to a pull.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
         address: str,
         incarnation: int,
         run: Runner,
-        answer_pull: Callable[[int], frames.PullResponse],
+        answer_pull: Callable[[frames.Pull], frames.PullResponse],
     ) -> None:
         self._address = address
         self._incarnation = incarnation
@@ -141,7 +141,7 @@
         elif isinstance(frame, frames.Ping):
             source_link.send(frames.Pong())
         elif isinstance(frame, frames.Pull):
-            source_link.send(self._answer_pull(frame.revision))
+            source_link.send(self._answer_pull(frame))
         elif source_link.peer_incarnation is None:
             source_link.abort()
         elif isinstance(frame, frames.Offer):
--- a/packages/mesh/src/laburnumford_mesh/server_entry.py
+++ b/packages/mesh/src/laburnumford_mesh/server_entry.py
@@ -18,6 +18,7 @@
         started_ms: Unix time of the start of the server in milliseconds, 0 if unknown.
         sequence: number of the server's registrations since its start; it grows with each renewal.
         revision: revision of the last change of the entry.
+        era: era of the store to which the revision belongs.
     """
 
     server_id: str
@@ -30,11 +31,12 @@
     started_ms: int
     sequence: int
     revision: int
+    era: int = 0
 
     @property
-    def recency_key(self) -> tuple[int, int]:
+    def recency_key(self) -> tuple[int, int, int]:
         """Sort key of entries with the same address; the largest belongs to the current server."""
-        return (self.started_ms, self.revision)
+        return (self.started_ms, self.era, self.revision)
 
     @property
     def registration_key(self) -> tuple[int, int] | None:
--- a/packages/mesh/src/laburnumford_mesh/store.py
+++ b/packages/mesh/src/laburnumford_mesh/store.py
@@ -9,10 +9,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Changes:
-    """Holds records and the revision up to which they are complete."""
+    """Holds records and the revision up to which they are complete.
+
+    Attributes:
+        records: the records.
+        revision: revision up to which they are complete.
+        era: number of times that the store has come back from an older copy; revisions are then
+            used again for other contents.
+    """
 
     records: Sequence[record.Record]
     revision: int
+    era: int = 0
 
 
 class Store(Protocol):
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from laburnumford_mesh import clock, errors, event_log, record, record_set, store
+from laburnumford_mesh import clock, errors, event_log, frames, record, record_set, store
 
 _WATCH_TIMEOUT_S = 0.4
 """Seconds for which a watch waits for a change. The standby considers the reader lost if it
@@ -63,9 +63,16 @@
 """Seconds without the store after which entries may have expired. They expire after three missed
 renewals of 1.5 s, so an entry that is missing after a shorter outage was removed."""
 
+_ERA_GRACE_S = 6.0
+"""Seconds after a change of the store's era for which records of older eras are kept. Operators and
+servers write again what the store has lost; the platform allows 5 s for that."""
+
 _STORE_SOURCE = "store"
 """Source in the log of values that this node has read itself."""
 
+_ERA_SOURCE = "era"
+"""Source in the log of the removal of records of older eras."""
+
 _MAX_LOGGED_KEYS = 8
 """Removed keys that one line of the log names."""
 
@@ -106,7 +113,10 @@
         self._failure_count = 0
         self._history_lost = False
         self._jittered_max_age_s = _MAX_AGE_S
-        self._pulled_revision = 0
+        self._pulled_position = (0, 0)
+        self._era_grace_until_s = -math.inf
+        self._keeps_older_eras = False
+        self._lacks_older_eras = False
         self._last_pull_s = -math.inf
         self.read_count = 0
         self.pull_count = 0
@@ -116,6 +126,11 @@
         """Revision up to which the values are complete."""
         return self._records.revision
 
+    @property
+    def era(self) -> int:
+        """Era of the store to which the values belong."""
+        return self._records.era
+
     @property
     def history_revision(self) -> int:
         """Revision since which all changes are known, removals included."""
@@ -127,9 +142,9 @@
             float("inf") if self._current_as_of_s is None else clock.now() - self._current_as_of_s
         )
 
-    def changes_since(self, revision: int) -> tuple[list[record.Record], bool]:
+    def changes_since(self, revision: int, era: int = 0) -> tuple[list[record.Record], bool]:
         """Returns the records that a peer at `revision` lacks, and whether they are a snapshot."""
-        return self._records.changes_since(revision)
+        return self._records.changes_since(revision, era)
 
     async def run(self) -> None:
         """Reads the store as the reader, or whenever the values are too old, until cancelled."""
@@ -146,7 +161,7 @@
                 await self._back_off(error)
 
     def observe_peer_revision(
-        self, revision: int, age_s: float, history_revision: int = 0
+        self, revision: int, age_s: float, history_revision: int = 0, era: int = 0
     ) -> bool:
         """Updates the age from a peer's digest.
 
@@ -154,23 +169,37 @@
             revision: revision up to which the peer's values are complete.
             age_s: seconds since the peer knew that its values were current.
             history_revision: revision since which the peer knows all changes.
+            era: era of the store to which the peer's revisions belong.
 
         Returns:
             Whether to pull newer values from the peer.
         """
-        if revision > self.revision:
-            has_changes = self.revision >= history_revision
+        if self._lacks_older_eras and era == self.era:
+            return True
+        if (era, revision) > self._records.position:
+            has_changes = era == self.era and self.revision >= history_revision
             return has_changes or not self.revision or self.age_s() > _MIN_SNAPSHOT_AGE_S
-        if revision == self.revision and self.revision:
+        if (era, revision) == self._records.position and self.revision:
             self._mark_current(clock.now() - age_s)
         return False
 
-    def should_pull(self, revision: int) -> bool:
+    def wanted(self) -> frames.Pull:
+        """Returns the request for the values that this node lacks.
+
+        A node that has started after a change of the era and has read the store itself lacks the
+        records that the others keep, so it asks for everything once.
+        """
+        if self._lacks_older_eras:
+            return frames.Pull(0)
+        return frames.Pull(self.revision, self.era)
+
+    def should_pull(self, revision: int, era: int = 0) -> bool:
         """Returns whether to ask a peer for a newer revision; not while another one is asked."""
         now = clock.now()
-        if revision <= self._pulled_revision and now - self._last_pull_s < _PULL_TIMEOUT_S:
+        position = (era, revision)
+        if position <= self._pulled_position and now - self._last_pull_s < _PULL_TIMEOUT_S:
             return False
-        self._pulled_revision = revision
+        self._pulled_position = position
         self._last_pull_s = now
         return True
 
@@ -182,6 +211,7 @@
         *,
         is_snapshot: bool,
         peer: str = "",
+        era: int = 0,
     ) -> None:
         """Applies records that a peer sent.
 
@@ -191,43 +221,92 @@
             age_s: seconds since the peer knew that its values were current.
             is_snapshot: whether the records are all that the peer has.
             peer: IP address of the peer.
+            era: era of the store to which the revision belongs.
         """
-        if revision < self.revision:
+        if is_snapshot and era == self.era:
+            self._add_older_eras(records, peer)
+        if (era, revision) < self._records.position or (era != self.era and not is_snapshot):
             return
         self.pull_count += 1
         after_outage = self.age_s() > _MIN_OUTAGE_S
-        applied = self._apply(records, revision, source=peer, is_snapshot=is_snapshot)
+        changes = store.Changes(records=records, revision=revision, era=era)
+        applied = self._apply(changes, source=peer, is_snapshot=is_snapshot)
         self._mark_current(clock.now() - age_s)
         if applied:
-            self._on_records(applied, after_outage)
+            self._on_records(applied, after_outage or self._in_era_grace())
+
+    def sweep(self) -> None:
+        """Drops the records of older eras that were not seen again in time."""
+        if not self._keeps_older_eras or self._in_era_grace():
+            return
+        self._keeps_older_eras = False
+        removals = self._records.expire_older_eras()
+        self._log_update(_ERA_SOURCE, self.revision, removals, is_snapshot=False)
+        if removals:
+            self._on_records(removals, False)
+
+    def _add_older_eras(self, records: Sequence[record.Record], peer: str) -> None:
+        """Adds what a peer keeps of older eras if this node has started since."""
+        if not self._lacks_older_eras:
+            return
+        self._lacks_older_eras = False
+        added = self._records.add_older_eras(records)
+        if added:
+            self._begin_era_grace()
+            self._log_update(peer, self.revision, added, is_snapshot=False)
+            self._on_records(added, False)
+
+    def _begin_era_grace(self) -> None:
+        self._keeps_older_eras = True
+        self._era_grace_until_s = clock.now() + _ERA_GRACE_S
+
+    def _in_era_grace(self) -> bool:
+        """Returns whether the store may still lack records that it has lost."""
+        return clock.now() < self._era_grace_until_s
 
     def _apply(
         self,
-        records: Sequence[record.Record],
-        revision: int,
+        changes: store.Changes,
         *,
         source: str,
         is_snapshot: bool,
     ) -> list[record.Record]:
         """Applies records, logs the step, and returns those that were new to this node."""
-        previous = self.revision
-        if is_snapshot:
-            applied = self._records.apply_snapshot(records, revision)
-        else:
-            applied = self._records.apply_changes(records, revision)
-        if applied or is_snapshot:
-            removed = [each.key for each in applied if each.value is None]
+        previous_era, previous = self._records.position
+        apply = self._records.apply_snapshot if is_snapshot else self._records.apply_changes
+        applied = apply(changes.records, changes.revision, changes.era)
+        if self.era != previous_era and previous:
             self._log.write(
-                "values_updated",
+                "store_era_changed",
                 source=source,
-                previous=previous,
-                revision=revision,
-                snapshot=is_snapshot,
-                records=len(applied),
-                removed=removed[:_MAX_LOGGED_KEYS],
+                previous=previous_era,
+                era=self.era,
+                previous_revision=previous,
+                revision=self.revision,
             )
+        if self.era != previous_era:
+            self._lacks_older_eras = not previous and source == _STORE_SOURCE
+            if previous or self._records.has_older_eras():
+                self._begin_era_grace()
+        if applied or is_snapshot:
+            self._log_update(source, previous, applied, is_snapshot=is_snapshot)
         return applied
 
+    def _log_update(
+        self, source: str, previous: int, applied: Sequence[record.Record], *, is_snapshot: bool
+    ) -> None:
+        removed = [each.key for each in applied if each.value is None]
+        self._log.write(
+            "values_updated",
+            source=source,
+            previous=previous,
+            revision=self.revision,
+            era=self.era,
+            snapshot=is_snapshot,
+            records=len(applied),
+            removed=removed[:_MAX_LOGGED_KEYS],
+        )
+
     async def _read(self) -> None:
         self.read_count += 1
         after_outage = self.age_s() > _MIN_OUTAGE_S
@@ -246,16 +325,20 @@
                 return
             current_as_of_s = max(current_as_of_s, clock.now() - 0.05)
             is_snapshot = False
-        applied = self._apply(
-            changes.records, changes.revision, source=_STORE_SOURCE, is_snapshot=is_snapshot
-        )
+        if changes.era < self.era:
+            raise errors.StoreError(f"era: found {changes.era}; allowed: {self.era} or more")
+        if changes.era > self.era and not is_snapshot:
+            # The changes since a revision of another era say nothing about what was lost.
+            self._history_lost = True
+            return
+        applied = self._apply(changes, source=_STORE_SOURCE, is_snapshot=is_snapshot)
         if self._failure_count:
             self._log.write("store_regained", failures=self._failure_count, revision=self.revision)
         self._failure_count = 0
         self._jittered_max_age_s = _MAX_AGE_S + self._generator.random() * _MAX_AGE_JITTER_S
         self._mark_current(current_as_of_s)
         if applied:
-            self._on_records(applied, after_outage)
+            self._on_records(applied, after_outage or self._in_era_grace())
             await asyncio.sleep(_READ_BATCH_DELAY_S)
 
     async def _back_off(self, error: errors.StoreError) -> None:
--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -147,6 +147,7 @@
         reads: number of reads and watches.
         down: whether every read fails.
         history_lost: whether the next watch fails because older revisions are gone.
+        era: number of times that the store has come back from an older copy.
     """
 
     def __init__(self):
@@ -155,12 +156,27 @@
         self.reads = 0
         self.down = False
         self.history_lost = False
+        self.era = 0
         self._changed = asyncio.Event()
 
     def put(self, key, value):
         """Writes a record; the value None removes it."""
         self.revision += 1
-        self.records[key] = record.Record(key, self.revision, value)
+        self.records[key] = record.Record(key, self.revision, value, self.era)
+        self._changed.set()
+
+    def copy(self):
+        """Returns a copy of the contents for `roll_back`."""
+        return self.revision, dict(self.records)
+
+    def roll_back(self, copied):
+        """Comes back from an older copy, which begins a new era."""
+        self.era += 1
+        self.revision = copied[0]
+        self.records = {
+            key: record.Record(key, each.revision, each.value, self.era)
+            for key, each in copied[1].items()
+        }
         self._changed.set()
 
     async def read_all(self):
@@ -168,12 +184,12 @@
         self._check()
         self.history_lost = False
         live = [each for each in self.records.values() if each.value is not None]
-        return store.Changes(records=live, revision=self.revision)
+        return store.Changes(records=live, revision=self.revision, era=self.era)
 
     async def watch(self, after, wait_s):
         """Returns the changes after a revision; waits for one if there is none."""
         self._check()
-        if self.history_lost:
+        if self.history_lost or after > self.revision:
             raise errors.HistoryLostError("lost")
         if self.revision <= after:
             self._changed.clear()
@@ -182,7 +198,7 @@
                     await self._changed.wait()
             self._check()
         changed = [each for each in self.records.values() if each.revision > after]
-        return store.Changes(records=changed, revision=self.revision)
+        return store.Changes(records=changed, revision=self.revision, era=self.era)
 
     def close(self):
         """Does nothing."""
--- a/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_directory.py
@@ -1,5 +1,7 @@
 """Tests of the active configuration and the usable servers."""
 
+import dataclasses
+
 import pytest
 
 from laburnumford_mesh import clock, directory, record
@@ -154,6 +156,42 @@
     assert _ids(server_directory) == {"a"}
 
 
+def _apply_era(server_directory, objects, entry, era):
+    objects["servers/a"] = entry
+    server_directory.apply([record.Record("servers/a", 1, b"x", era)], after_outage=True)
+
+
+def test_older_copy_of_an_entry_does_not_undo_draining(server_directory, objects):
+    """Guards against requests to a server that stops, because the store came back older."""
+    _apply_era(server_directory, objects, _renewal(3, draining=True), 0)
+    _apply_era(server_directory, objects, _renewal(2), 1)
+    assert not _ids(server_directory)
+
+
+def test_older_copy_of_an_entry_does_not_bring_back_a_server(
+    server_directory, objects, monkeypatch
+):
+    """Guards against requests to a server that was missing for the whole grace period."""
+    _put(server_directory, objects, "servers/a", _renewal(3))
+    _put(server_directory, objects, "servers/a", None, after_outage=True)
+    later = clock.now() + 3.0
+    monkeypatch.setattr(clock, "now", lambda: later)
+    server_directory.sweep()
+    _apply_era(server_directory, objects, _renewal(2), 1)
+    assert not _ids(server_directory)
+    _apply_era(server_directory, objects, _renewal(4), 1)
+    assert _ids(server_directory) == {"a"}
+
+
+def test_entry_of_a_newer_era_belongs_to_the_current_server(server_directory, objects):
+    """Guards against requests to the id of an ended server, because revisions went back."""
+    ended = conftest.make_entry("a", "1.1.1.1:1", started_ms=0, revision=90)
+    current = dataclasses.replace(ended, server_id="b", revision=40, era=1)
+    _put(server_directory, objects, "servers/a", ended)
+    _put(server_directory, objects, "servers/b", current)
+    assert _ids(server_directory) == {"b"}
+
+
 def test_renewals_without_a_known_start_are_not_compared(server_directory, objects):
     """Guards against a restarted server that is ignored, because its numbers start again."""
     _put(server_directory, objects, "servers/a", _renewal(9, started_ms=0))
--- a/packages/mesh/src/laburnumford_mesh/tests/test_frames.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_frames.py
@@ -23,7 +23,7 @@
 ANY_BYTES = (
     st.binary(max_size=200)
     | _mutations(frames.encode(frames.Hello(2**62 - 1, False)))
-    | _mutations(frames.encode(frames.Digest(1, 2, 3.0, 4)))
+    | _mutations(frames.encode(frames.Digest(1, 2, 3.0, 4, 5)))
     | _mutations(frames.encode(frames.PullResponse(1, 0.0, True, b"x")))
     | _mutations(msgspec.msgpack.encode([["servers/a", 1, b"v"]]))
 )
@@ -55,3 +55,11 @@
     receiver.datagram_received(frames.encode(frames.Ping()), ("1.1.1.1", 1))
     assert receiver.invalid_datagram_count == 1
     assert [record.levelname for record in caplog.records] == ["WARNING", "ERROR"]
+
+
+def test_messages_of_nodes_that_know_no_eras_belong_to_the_first():
+    """Guards against nodes of two versions that do not understand each other in an upgrade."""
+    assert frames.decode(msgspec.msgpack.encode([10, 1, 2, 3.0, 4])) == frames.Digest(1, 2, 3.0, 4)
+    assert frames.decode(msgspec.msgpack.encode([8, 7])).era == 0
+    assert frames.decode(msgspec.msgpack.encode([9, 1, 0.0, True, b"x"])).era == 0
+    assert frames.decode_records(msgspec.msgpack.encode([["servers/a", 1, b"v"]]))[0].era == 0
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -33,7 +33,7 @@
             address=f"127.0.0.1:{port}",
             incarnation=incarnation,
             run=self.run,
-            answer_pull=lambda revision: frames.PullResponse(revision, 0.0, False, b""),
+            answer_pull=lambda pull: frames.PullResponse(pull.revision, 0.0, False, b""),
         )
         await self.listener.start()
         self.port = self.listener.port
