--- a/packages/mesh/src/laburnumford_mesh/server_coldness.py
+++ b/packages/mesh/src/laburnumford_mesh/server_coldness.py
@@ -79,11 +79,12 @@
             return
         self.is_cold = is_cold
         if is_cold:
+            remaining_s = self._limit.remaining_s(now)
             self._log.write(
                 "server_cold",
                 server=self._server_id,
                 per_s=per_s,
-                remaining_s=self._limit.remaining_s(now),
+                remaining_s=None if remaining_s is None else round(remaining_s, 3),
             )
         else:
             self._log.write("server_warm", server=self._server_id)
--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -256,6 +256,11 @@
             self._log_update(peer, self.revision, added, is_snapshot=False)
             self._on_records(added, False)
 
+    def _observe_older_eras(self, *, changed: bool) -> None:
+        """Begins the grace period after a change of the era, or with records that a peer keeps."""
+        if changed or (not self._keeps_older_eras and self._records.has_older_eras()):
+            self._begin_era_grace()
+
     def _begin_era_grace(self) -> None:
         self._keeps_older_eras = True
         self._era_grace_until_s = clock.now() + _ERA_GRACE_S
@@ -286,8 +291,8 @@
             )
         if self.era != previous_era:
             self._lacks_older_eras = not previous and source == _STORE_SOURCE
-            if previous or self._records.has_older_eras():
-                self._begin_era_grace()
+        if is_snapshot:
+            self._observe_older_eras(changed=bool(previous) and self.era != previous_era)
         if applied or is_snapshot:
             self._log_update(source, previous, applied, is_snapshot=is_snapshot)
         return applied
--- a/packages/mesh/src/laburnumford_mesh/tests/test_store_eras.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_store_eras.py
@@ -212,6 +212,22 @@
     assert not started.zones
 
 
+async def test_older_eras_in_a_later_snapshot_end_too(reader, start):
+    """Guards against a lost key that a snapshot of the same era brings and nothing ever ends."""
+    other = start(rank=5)
+    await waiting.until(lambda: other.directory.configuration)
+    other.sync._lacks_older_eras = False
+    records, _ = reader.sync.changes_since(0)
+    other.sync.apply_peer_records(
+        records, reader.sync.revision, 0.0, is_snapshot=True, era=reader.sync.era
+    )
+    other.sync.sweep()
+    assert other.zones == {"y"}
+    other.sync._era_grace_until_s = 0.0
+    other.sync.sweep()
+    assert not other.zones
+
+
 async def test_fleet_keeps_an_evacuation_that_the_store_loses(fleet):
     """Guards against requests to an evacuated zone after the store has come back older."""
     addresses = [await fleet.add(index, zone=zone) for index, zone in enumerate("yz")]
