--- a/packages/mesh/src/laburnumford_mesh/peer_listener.py
+++ b/packages/mesh/src/laburnumford_mesh/peer_listener.py
@@ -68,7 +68,7 @@
         address: ``ip:port``.
         incarnation: random number of this start of the node.
         run: runs a request or decides on an offer.
-        answer_pull: returns the answer to a pull after a revision.
+        answer_pull: returns the answer to a pull.
         refuse: returns the refusal of a call, given its id, the reason and the time in seconds
             after which the sender may try again.
         budget: limit on the bodies that the process holds.
@@ -80,7 +80,7 @@
         address: str,
         incarnation: int,
         run: Runner,
-        answer_pull: Callable[[int], frames.PullResponse],
+        answer_pull: Callable[[frames.Pull], frames.PullResponse],
         refuse: Callable[[int, str, float], frames.Refusal],
         budget: buffer_budget.BufferBudget,
     ) -> None:
@@ -179,7 +179,7 @@
         elif isinstance(frame, frames.Ping):
             source_link.send(frames.Pong())
         elif isinstance(frame, frames.Pull):
-            source_link.send(self._answer_pull(frame.revision))
+            source_link.send(self._answer_pull(frame))
         elif source_link.peer_incarnation is None:
             source_link.abort()
         elif isinstance(frame, frames.Offer):
--- a/packages/mesh/src/laburnumford_mesh/tests/call_ends.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/call_ends.py
@@ -40,7 +40,7 @@
             address=f"127.0.0.1:{port}",
             incarnation=incarnation,
             run=self.run,
-            answer_pull=lambda revision: frames.PullResponse(revision, 0.0, False, b""),
+            answer_pull=lambda pull: frames.PullResponse(pull.revision, 0.0, False, b""),
             refuse=lambda call_id, reason, wait_s: frames.Refusal(call_id, reason, wait_s, LOAD),
             budget=self.budget,
         )
