Notice a disconnect while reading from a caller is paused

Cause: with 16 unanswered requests reading pauses, and the end of the connection is only noticed by reading. The requests of a caller that had left ran on until their deadline.

Change: paused connections without unsent answers are polled every 0.2 s for a closed or reset other end. With unsent answers, writing fails.

--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -283,6 +283,16 @@
         """Returns for how many seconds the caller has read nothing of an unsent answer."""
         return self._writer.stalled_s(now)
 
+    def close_if_disconnected(self) -> None:
+        """Closes the connection if the caller has left while reading is paused.
+
+        An unsent answer needs no check: writing it fails.
+        """
+        if self._transport is None or not self.reading_paused or not self._writer.empty:
+            return
+        if sockets.is_ended_by_peer(self._transport):
+            self._transport.abort()
+
     def close_slow_reader(self) -> None:
         """Resets the connection and releases what is reserved for its answers."""
         self._end()
--- a/packages/mesh/src/laburnumford_mesh/http/edge_server.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_server.py
@@ -21,6 +21,9 @@
 _SWEEP_INTERVAL_S = 0.5
 """Header timeouts are configured in whole seconds."""
 
+_DISCONNECT_INTERVAL_S = 0.2
+"""Work for a caller that has left is cancelled within 0.5 s."""
+
 _IDLE_SLACK_S = 0.5
 """Callers may reuse a connection until the published idle timeout. Closing it later avoids a
 race between the close and such a request."""
@@ -62,7 +65,7 @@
         self._max_descriptors = max_descriptors
         self._refusals = refusal_log.RefusalLog(address=address, log=log)
         self._acceptor: acceptor.Acceptor | None = None
-        self._sweeper: asyncio.Task[None] | None = None
+        self._sweepers: list[asyncio.Task[None]] = []
 
     @property
     def in_flight_count(self) -> int:
@@ -109,9 +112,13 @@
             max_descriptors=self._max_descriptors,
         )
         self._acceptor.start()
-        self._sweeper = loop.create_task(
-            supervision.keep_running(self._sweep, name=f"sweep of {self._address}")
-        )
+        self._sweepers = [
+            loop.create_task(supervision.keep_running(run, name=f"{name} of {self._address}"))
+            for name, run in (
+                ("sweep", self._sweep),
+                ("check for disconnected callers", self._close_disconnected),
+            )
+        ]
 
     def begin_drain(self) -> None:
         """Makes each connection close as soon as its received requests are answered."""
@@ -139,9 +146,9 @@
     async def close(self) -> None:
         """Closes all connections and waits for the tasks of the listener."""
         self.close_connections()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
-            await asyncio.gather(self._sweeper, return_exceptions=True)
+        for sweeper in self._sweepers:
+            sweeper.cancel()
+        await asyncio.gather(*self._sweepers, return_exceptions=True)
         if self._acceptor is not None:
             await self._acceptor.wait_closed()
         # Connections whose transport was being created.
@@ -159,6 +166,12 @@
         self._connections.add(connection)
         return connection
 
+    async def _close_disconnected(self) -> None:
+        while True:
+            await asyncio.sleep(_DISCONNECT_INTERVAL_S)
+            for connection in list(self._connections):
+                connection.close_if_disconnected()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_edge_connection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from laburnumford_mesh.http import edge_connection
 from laburnumford_mesh.tests import waiting
 
 
@@ -44,6 +45,19 @@
     await waiting.until(lambda: edge.cancelled == ["/1"])
 
 
+async def test_disconnect_while_reading_is_paused_cancels_the_requests(edge):
+    """Guards against work for a caller that left, unnoticed since its connection is not read."""
+    count = edge_connection._MAX_PIPELINED_REQUESTS
+    edge.budget.max_bytes = 1_000_000
+    edge.gate("/1")
+    caller = await edge.connect()
+    caller.send(_get("/1") * count)
+    await waiting.until(lambda: len(edge.requests) == count)
+    caller.writer.close()
+    await waiting.until(lambda: len(edge.cancelled) == count)
+    assert edge.server.connection_count == 0
+
+
 @pytest.mark.parametrize(
     ("request_bytes", "status"),
     [
--- a/packages/node/src/laburnumford_node/http/sockets.py
+++ b/packages/node/src/laburnumford_node/http/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import select
 import socket
 import struct
 import sys
@@ -17,6 +18,15 @@
     return int.from_bytes(pending, sys.byteorder) > 0
 
 
+def is_ended_by_peer(transport: asyncio.Transport) -> bool:
+    """Returns whether the other end has closed its sending half or reset the connection."""
+    if transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def peer_ip(transport: asyncio.BaseTransport) -> str:
     """Returns the IP address of the other end, empty if it has reset the connection already."""
     name = transport.get_extra_info("peername")
