Bound the unsent bytes of a stream only while it sends bodies

Cause: the bound in the kernel is of use only for bodies in chunks. Change: it is set with the first body and removed after the last one.

--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -64,7 +64,9 @@
         self._max_frame_bytes = _MAX_FIRST_FRAME_BYTES
         self._budget = budget
         self._reserved_bytes = 0
-        self.bodies = outgoing_bodies.OutgoingBodies(write=self._write)
+        self.bodies = outgoing_bodies.OutgoingBodies(
+            write=self._write, on_idle=lambda: self._limit_unsent_bytes(0)
+        )
         self.lost = False
         self.last_received_s = clock.now()
         self.estimated_delivery_s = clock.now()
@@ -77,7 +79,6 @@
         """Stores the transport and sends the hello."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
-        _limit_unsent_bytes(transport.get_extra_info("socket"))
         self.peer_ip = sockets.peer_ip(transport)
         self.send(self._hello)
 
@@ -153,12 +154,27 @@
         # The complete body counts at once: when its chunks are written depends on the network.
         self._expect_delivery(len(body))
         self.bodies.add(call_id, body, on_sent)
+        self._limit_unsent_bytes(_WRITE_BUFFER_BYTES)
 
     def observe_hello(self, frame: frames.Hello) -> None:
         """Stores what the other node says about itself."""
         self.peer_incarnation = frame.incarnation
         self.peer_takes_chunks = frame.takes_chunks
 
+    def _limit_unsent_bytes(self, size: int) -> None:
+        """Bounds the bytes that the kernel takes before it can send them; 0 removes the bound.
+
+        Without the bound, the kernel buffers megabytes of bodies in front of a ping. It is set only
+        while bodies are sent, so that small frames are sent as without large bodies.
+        """
+        if self.lost or self._transport is None:
+            return
+        connected = self._transport.get_extra_info("socket")
+        if connected is not None and hasattr(socket, "TCP_NOTSENT_LOWAT"):
+            with contextlib.suppress(OSError):
+                # The stream may have been reset.
+                connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
+
     def _write(self, frame: frames.BodyChunk) -> bool:
         if self.lost or self._transport is None or self._transport.is_closing():
             return False
@@ -195,14 +211,3 @@
         """Closes the stream after the bytes written so far are sent."""
         if self._transport is not None:
             self._transport.close()
-
-
-def _limit_unsent_bytes(connected: Any) -> None:
-    """Bounds the bytes that the kernel takes before it can send them.
-
-    Without the bound, the kernel buffers megabytes of bodies in front of a ping.
-    """
-    if connected is not None and hasattr(socket, "TCP_NOTSENT_LOWAT"):
-        with contextlib.suppress(OSError):
-            # The stream may have been reset.
-            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _WRITE_BUFFER_BYTES)
--- a/packages/mesh/src/laburnumford_mesh/outgoing_bodies.py
+++ b/packages/mesh/src/laburnumford_mesh/outgoing_bodies.py
@@ -34,13 +34,17 @@
 
     Args:
         write: writes a frame; returns False if the stream is closed.
+        on_idle: called when the last body is written completely or is no longer sent.
 
     Attributes:
         paused: whether chunks wait for the transport.
     """
 
-    def __init__(self, *, write: Callable[[frames.BodyChunk], bool]) -> None:
+    def __init__(
+        self, *, write: Callable[[frames.BodyChunk], bool], on_idle: Callable[[], None]
+    ) -> None:
         self._write = write
+        self._on_idle = on_idle
         self._bodies: collections.deque[_OutgoingBody] = collections.deque()
         self.paused = False
         self._scheduled: asyncio.Handle | None = None
@@ -63,6 +67,7 @@
             self._bodies = collections.deque(
                 each for each in self._bodies if each.call_id != call_id
             )
+            self._check_idle()
 
     def clear(self) -> None:
         """Stops sending all bodies."""
@@ -77,6 +82,10 @@
         self.paused = False
         self._schedule()
 
+    def _check_idle(self) -> None:
+        if not self._bodies:
+            self._on_idle()
+
     def _schedule(self) -> None:
         if self._bodies and not self.paused and self._scheduled is None:
             self._scheduled = asyncio.get_running_loop().call_soon(self._write_chunks)
@@ -97,4 +106,5 @@
                 self._bodies.append(body)
             else:
                 body.on_sent()
+                self._check_idle()
         self._schedule()
