--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -321,7 +321,7 @@
         """Returns a loopback address that depends on the process id, to avoid clashes."""
         return f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{index + 1}"
 
-    async def add(self, index, *, service="s"):
+    async def add(self, index, *, service="s", memory_bytes=100_000_000):
         """Starts a backend server and its node; returns the IP address of both."""
         ip = self.ip(index)
         backend = Backend(f"server-{index}")
@@ -329,7 +329,7 @@
         self.backends.append(backend)
         entry = make_entry(backend.server_id, backend.address, service=service)
         self.publish(f"servers/{index}", entry)
-        own = make_settings(index, ip, backend.address, service=service)
+        own = make_settings(index, ip, backend.address, memory_bytes=memory_bytes, service=service)
         made = node.Node(
             own_settings=own,
             names=NAMES,
