Wait up to a second for memory before an answer is given up

Cause: answers on their way to callers on slow links now count in the budget, so that an answer of a server could fail although others were about to leave. Change: an answer that does not fit stops being read for at most 1 s, and fails after that.

--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -7,7 +7,7 @@
 
 from laburnumford_mesh import clock
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import body_writer, buffer_budget, read_limits, read_meter
+from laburnumford_mesh.http import body_writer, buffer_budget, read_limits, read_meter, space_wait
 from laburnumford_node.http import errors, fields, parsing
 
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -56,6 +56,7 @@
         self._id_field = id_field
         self._meter = read_meter.ReadMeter()
         self._writer = body_writer.BodyWriter()
+        self._space_wait = space_wait.SpaceWait(budget=budget, on_timeout=self._fail_without_space)
         self._reserved_bytes = 0
         self._field_count = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -179,9 +180,10 @@
         self._check_body_size(len(data))
         size = self._reserved_bytes + len(data)
         if not self._budget.reserve(len(data), body_bytes=size, answer=True):
-            raise errors.BadMessageError(
-                502, f"answers exceed the buffer of {self._budget.max_bytes} bytes"
-            )
+            # These bytes are read already; no more are, until others have left.
+            self._budget.take(len(data))
+            if self._transport is not None:
+                self._space_wait.start(self._transport, size)
         self._reserved_bytes += len(data)
         self._meter.observe_body(len(data))
         self._body += data
@@ -310,7 +312,15 @@
                 502, f"answer has {size} bytes or more; allowed: {self._limits.body_bytes}"
             )
 
+    def _fail_without_space(self) -> None:
+        self._fail(
+            errors.BadMessageError(
+                502, f"answers exceed the buffer of {self._budget.max_bytes} bytes"
+            )
+        )
+
     def _release_body(self) -> None:
+        self._space_wait.stop()
         self._body.clear()
         self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
--- a/packages/mesh/src/laburnumford_mesh/http/tests/test_endless_answers.py
+++ b/packages/mesh/src/laburnumford_mesh/http/tests/test_endless_answers.py
@@ -6,6 +6,7 @@
 
 from laburnumford_mesh.http import buffer_budget, read_limits, server_pool
 from laburnumford_mesh.http.tests import flooding_server
+from laburnumford_mesh.tests import waiting
 from laburnumford_node.http import errors
 
 LIMITS = read_limits.ReadLimits(framing_bytes=16_384, header_fields=100, body_bytes=200_000)
@@ -34,13 +35,13 @@
 }
 
 
-def _pool(port, buffer_bytes=1_000_000):
+def _pool(port, budget=None):
     return server_pool.ServerPool(
         address=f"127.0.0.1:{port}",
         id_field=b"x-id",
         connect_timeout_s=1.0,
         limits=LIMITS,
-        budget=buffer_budget.BufferBudget(max_bytes=buffer_bytes),
+        budget=budget or buffer_budget.BufferBudget(max_bytes=1_000_000),
     )
 
 
@@ -73,7 +74,7 @@
         writer.write(head + body)
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    pool = _pool(server.sockets[0].getsockname()[1], buffer_bytes=400_000)
+    pool = _pool(server.sockets[0].getsockname()[1], buffer_budget.BufferBudget(max_bytes=400_000))
     connections = [await pool.acquire(1.0) for _ in range(4)]
     sends = [
         asyncio.create_task(each.send(b"GET", b"GET / HTTP/1.1\r\n\r\n", b"1"))
@@ -91,6 +92,39 @@
     server.close()
 
 
+async def test_answer_waits_for_others_to_leave_the_buffer():
+    """Guards against a request that has run and whose answer is given up because memory is short.
+
+    The answers before it may be on their way to callers on slow links.
+    """
+    body = b"b" * 190_000
+    head = HEAD + b"Content-Length: 190000\r\n\r\n"
+    rest_sent = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + body[:50_000])
+        await rest_sent.wait()
+        writer.write(body[50_000:])
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    budget = buffer_budget.BufferBudget(max_bytes=400_000)
+    pool = _pool(server.sockets[0].getsockname()[1], budget)
+    budget.take(390_000)
+    connection = await pool.acquire(1.0)
+    sending = asyncio.create_task(connection.send(b"GET", b"GET / HTTP/1.1\r\n\r\n", b"1"))
+    await waiting.until(lambda: budget.reserved_bytes > budget.max_bytes)
+    rest_sent.set()
+    await asyncio.sleep(0.1)
+    assert not sending.done()
+    budget.release(390_000)
+    assert (await sending).body == body
+    assert connection.reusable
+    assert not budget.reserved_bytes
+    pool.close()
+    server.close()
+
+
 async def test_large_answer_within_the_limits_is_complete():
     """Guards against limits that reject answers which services really send."""
     body = b"b" * LIMITS.body_bytes
@@ -103,7 +137,9 @@
             writer.write(head + b"".join(chunks) + b"0\r\n\r\n")
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    pool = _pool(server.sockets[0].getsockname()[1], buffer_bytes=LIMITS.body_bytes)
+    pool = _pool(
+        server.sockets[0].getsockname()[1], buffer_budget.BufferBudget(max_bytes=LIMITS.body_bytes)
+    )
     connection = await pool.acquire(1.0)
     async with asyncio.timeout(10):
         for _ in range(2):
