--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -218,14 +218,22 @@
 
 
 def make_entry(
-    server_id, address, *, service="s", draining=False, started_ms=1, sequence=1, revision=1
+    server_id,
+    address,
+    *,
+    service="s",
+    zone="z",
+    draining=False,
+    started_ms=1,
+    sequence=1,
+    revision=1,
 ):
     """Returns a server entry."""
     return server_entry.ServerEntry(
         server_id=server_id,
         service=service,
         address=address,
-        zone="z",
+        zone=zone,
         slots=SLOTS,
         draining=draining,
         cold_remaining_s=0.0,
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -135,7 +135,11 @@
 
 
 def _dispatcher(scripted, log, servers):
-    local: typing.Any = UnrelatedServer()
+    made, _ = _make(scripted, log, _services(servers))
+    return made
+
+
+def _services(servers, *, zone="z"):
     learned = services.Services(
         zone="z",
         server_address="127.0.0.1:1",
@@ -144,20 +148,27 @@
     )
     learned.apply(
         [
-            conftest.make_entry(f"server-{index}", f"127.0.0.{index + 2}:1")
+            conftest.make_entry(f"server-{index}", f"127.0.0.{index + 2}:1", zone=zone)
             for index in range(servers)
         ],
         node_count=1,
     )
-    return dispatcher.Dispatcher(
+    return learned
+
+
+def _make(scripted, log, learned):
+    local: typing.Any = UnrelatedServer()
+    counters = metrics.Metrics()
+    made = dispatcher.Dispatcher(
         local=local,
         server_address="127.0.0.1:1",
         peers=scripted,
         services=learned,
         names=conftest.NAMES,
         log=log,
-        counters=metrics.Metrics(),
+        counters=counters,
     )
+    return made, counters
 
 
 async def test_outcome_is_unknown_when_the_first_attempt_is_lost_and_the_hedge_refused(
@@ -318,3 +329,16 @@
         await two_server_dispatcher.dispatch(_call(max_attempts=1))
     left = scripted.requests[0].server_id
     assert left not in {request.server_id for request in scripted.requests[1:]}
+
+
+async def test_attempts_in_other_zones_are_counted(scripted, log):
+    """Guards against traffic between zones that operators cannot see."""
+    learned = _services(1, zone="y")
+    made, counters = _make(scripted, log, learned)
+    scripted.results = [(0.0, _answer(200))]
+    await made.dispatch(_call())
+    assert 'requests_out_of_zone_total{kind="s"} 1' in counters.render({})
+    learned = _services(1)
+    made, counters = _make(scripted, log, learned)
+    await made.dispatch(_call())
+    assert "requests_out_of_zone_total" not in counters.render({})
--- a/packages/mesh/src/laburnumford_mesh/tests/test_frames.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_frames.py
@@ -55,3 +55,9 @@
     receiver.datagram_received(frames.encode(frames.Ping()), ("1.1.1.1", 1))
     assert receiver.invalid_datagram_count == 1
     assert [record.levelname for record in caplog.records] == ["WARNING", "ERROR"]
+
+
+def test_load_report_without_a_capacity_is_decoded():
+    """Guards against reports of nodes of the previous version that are dropped."""
+    encoded = msgspec.msgpack.encode([11, ["a", 1, 0, 0, 4, 1.0, 0.0, 0.0]])
+    assert frames.decode(encoded).load.capacity == 0
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server.py
@@ -405,3 +405,22 @@
     await asyncio.sleep(0.5)
     assert isinstance(await local.run(conftest.make_request("1")), frames.Answer)
     assert local.malformed_field_count >= 1
+
+
+async def test_capacity_is_measured_while_requests_wait(local, backend):
+    """Guards against load reports that state what the slots suggest, not what the server does.
+
+    Load pattern: more requests than slots for about a second.
+    """
+    assert local.report().capacity == 0
+    backend.service_time_s = 0.02
+    sent = 0
+
+    async def keep_waiting_requests():
+        nonlocal sent
+        while not local.report().capacity:
+            sent += 1
+            await local.run(conftest.make_request(str(sent)))
+
+    await asyncio.gather(*(keep_waiting_requests() for _ in range(3 * conftest.SLOTS)))
+    assert 0 < local.report().capacity <= 2 * conftest.SLOTS
--- a/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_peer.py
@@ -59,6 +59,7 @@
 
     def __init__(self, port, check_interval_s=peer.CHECK_INTERVAL_S):
         self.suspected: list[str] = []
+        self.round_trips: list[tuple[str, float]] = []
         self._check_interval_s = check_interval_s
         self.peer = peer.Peer(
             address=f"127.0.0.1:{port}",
@@ -66,6 +67,7 @@
             on_pull_response=lambda *_: None,
             on_go_away=lambda _: None,
             on_suspect=self.suspected.append,
+            on_round_trip=lambda ip, seconds: self.round_trips.append((ip, seconds)),
         )
         self._task = asyncio.create_task(self._check())
 
@@ -112,6 +114,18 @@
     await sender.close()
 
 
+async def test_round_trip_is_measured_once_for_a_new_stream(receiver):
+    """Guards against a decision on zones that assumes their distance."""
+    sender = Sender(receiver.port)
+    for _ in range(3):
+        await sender.call()
+    await waiting.until(lambda: sender.round_trips)
+    ((ip, seconds),) = sender.round_trips
+    assert ip == "127.0.0.1"
+    assert seconds > 0
+    await sender.close()
+
+
 async def test_call_to_an_unusable_address_is_refused():
     """Guards against a call that waits for its deadline because the connecting task has ended."""
     sender = Sender(70000)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_services.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_services.py
@@ -61,3 +61,32 @@
     assert _ids(learned) == {"a", "b"}
     _exclude_a(learned)
     assert _ids(learned) == {"b"}
+
+
+def _overflow_round_trip_s(learned, zone):
+    return learned.state("s").overflow.round_trip_s(zone)
+
+
+def test_measured_round_trip_to_a_zone_reaches_all_services(learned):
+    """Guards against services that assume a distance between zones although it was measured."""
+    learned.apply(
+        [
+            conftest.make_entry("a", "127.0.0.2:1"),
+            conftest.make_entry("c", "127.0.0.4:1", zone="y"),
+        ],
+        node_count=2,
+    )
+    learned.observe_round_trip("127.0.0.4", 0.02)
+    learned.observe_round_trip("127.0.0.2", 0.5)
+    learned.observe_round_trip("127.0.0.9", 0.5)
+    assert _overflow_round_trip_s(learned, "y") == 0.02
+    assert learned.state("later").overflow.round_trip_s("y") == 0.02
+    assert _overflow_round_trip_s(learned, "z") < 0.02
+
+
+def test_measured_round_trip_does_not_change_the_choice_in_a_zone(learned):
+    """Guards against a choice that differs from before while the zone has room."""
+    view = learned.state("s").placement.views_by_id["a"]
+    known_s = view.round_trip_s
+    learned.observe_round_trip("127.0.0.2", 0.5)
+    assert view.round_trip_s == known_s
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow_comparison.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow_comparison.py
@@ -40,6 +40,7 @@
     """Chooses a server for each request that enters at it."""
 
     def __init__(self, zone, servers, generator, *, overflow):
+        zones = {each.zone for each in servers}
         decision = None
         if overflow:
             decision = zone_overflow.ZoneOverflow(
@@ -47,9 +48,8 @@
                 generator=generator,
                 link=link_budget.LinkBudget(link_mbps=0),
             )
-            for other in _SERVERS_BY_ZONE:
-                if other != zone:
-                    decision.observe_round_trip(other, _ZONE_ROUND_TRIP_S)
+            for other in zones - {zone}:
+                decision.observe_round_trip(other, _ZONE_ROUND_TRIP_S)
         self.zone = zone
         self.decision = decision
         self.placement = placement.Placement(generator=generator, overflow=decision)
@@ -65,16 +65,17 @@
         )
 
 
-class _Model:
+class Model:
     """Servers with a queue each, and nodes that learn their load with a delay."""
 
-    def __init__(self, seed, *, overflow, load, response_bytes, swing=0.55):
+    def __init__(self, seed, *, overflow, load, response_bytes, swing=0.55, servers_by_zone=None):
+        servers_by_zone = servers_by_zone or _SERVERS_BY_ZONE
         self.generator = random.Random(seed)
         chooser_generator = random.Random(seed + 1)
         self.load, self.swing, self.response_bytes = load, swing, response_bytes
         self.servers = [
             _Server(f"{zone}{index}", zone)
-            for zone, count in _SERVERS_BY_ZONE.items()
+            for zone, count in servers_by_zone.items()
             for index in range(count)
         ]
         self.by_id = {each.server_id: each for each in self.servers}
@@ -83,7 +84,7 @@
                 _Node(zone, self.servers, chooser_generator, overflow=overflow)
                 for _ in range(_NODES_PER_ZONE)
             ]
-            for zone in _SERVERS_BY_ZONE
+            for zone in servers_by_zone
         }
         self.events, self.numbers = [], itertools.count()
         self.now = 0.0
@@ -162,7 +163,7 @@
         node.placement.observe_answer("k", work_s, self.response_bytes)
         self.latencies_s.append(self.now - started_s)
         if node.decision is not None and node is self.nodes_by_zone["a"][0]:
-            self.shares.append((self.now, node.decision.share(self.now)))
+            self.shares.append(node.decision.share(self.now))
 
     def figures(self):
         ordered = sorted(self.latencies_s)
@@ -177,7 +178,7 @@
 
 def _compare(seed, **values):
     """Returns the figures of today's choice and of the one with the decision."""
-    return [_Model(seed, overflow=each, **values).run().figures() for each in (False, True)]
+    return [Model(seed, overflow=each, **values).run().figures() for each in (False, True)]
 
 
 def test_zone_with_room_is_served_as_before():
@@ -210,3 +211,26 @@
     assert after["mean_ms"] <= before["mean_ms"]
     assert after["late_share"] <= before["late_share"] * 1.2
     assert after["zone_mb"] <= before["zone_mb"] * 1.6
+
+
+def test_two_nearly_full_zones_settle():
+    """Guards against a share that swings between two zones, each of which relieves the other.
+
+    Load: two equal zones, constant, at 115 % of the nominal capacity (the choice avoids slow
+    servers, so the fleet completes more than that). A share that swings at the allowed speed
+    would change by about 39 in the run.
+    """
+    shares = (
+        Model(
+            1,
+            overflow=True,
+            load=1.15,
+            response_bytes=4_000,
+            swing=0.0,
+            servers_by_zone={"a": 6, "b": 6},
+        )
+        .run()
+        .shares
+    )
+    assert sum(shares) / len(shares) < 0.1
+    assert sum(abs(after - before) for before, after in itertools.pairwise(shares)) < 6
--- a/packages/policy/src/laburnumford_policy/placement/zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/zone_overflow.py
@@ -108,6 +108,10 @@
         """Records the measured network round trip to a zone."""
         self._round_trip_s_by_zone[zone] = seconds
 
+    def round_trip_s(self, zone: str) -> float:
+        """Returns the network round trip to a zone, measured or assumed, in seconds."""
+        return self._round_trip_s_by_zone.get(zone, _ASSUMED_ROUND_TRIP_S)
+
     def has_other_zones(self) -> bool:
         """Returns whether there are servers both in the own zone and in another one."""
         return len(self._views_by_zone) > 1 and self._own_zone in self._views_by_zone
@@ -233,17 +237,14 @@
             required += _FULL_ZONE_DIFFERENCE
         if difference < required:
             return False
-        return difference * service_time_s > self._round_trip_s(zone)
+        return difference * service_time_s > self.round_trip_s(zone)
 
     def _cost_s(self, zone: str, service_time_s: float) -> float:
-        return self._round_trip_s(zone) + self._occupancy(zone) * service_time_s
+        return self.round_trip_s(zone) + self._occupancy(zone) * service_time_s
 
     def _occupancy(self, zone: str) -> float:
         return self.occupancy_by_zone.get(zone, _ASSUMED_OCCUPANCY)
 
-    def _round_trip_s(self, zone: str) -> float:
-        return self._round_trip_s_by_zone.get(zone, _ASSUMED_ROUND_TRIP_S)
-
     def _approach(self, target_by_zone: dict[str, float], most: float) -> None:
         share_by_zone: dict[str, float] = {}
         for zone in self._views_by_zone:
