--- a/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow_comparison.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow_comparison.py
@@ -90,31 +90,32 @@
         self.now = 0.0
         self.latencies_s, self.out_of_zone, self.shares = [], 0, []
 
-    def at(self, when, action, *values):
+    def _at(self, when, action, *values):
         heapq.heappush(self.events, (when, next(self.numbers), action, values))
 
     def run(self):
+        """Serves the requests of the whole run and returns the model."""
         for zone in self.nodes_by_zone:
-            self.at(0.0, self.arrive, zone)
+            self._at(0.0, self._arrive, zone)
         for each in self.servers:
-            self.at(0.0, self.change_speed, each)
+            self._at(0.0, self._change_speed, each)
         while self.events:
             self.now, _, action, values = heapq.heappop(self.events)
             action(*values)
         return self
 
-    def demand_per_s(self, zone):
+    def _demand_per_s(self, zone):
         capacity = len(self.servers) * _SLOTS / (_SERVICE_TIME_S * _MEAN_SLOWNESS)
         phase = list(self.nodes_by_zone).index(zone) / len(self.nodes_by_zone)
         wave = math.sin(2 * math.pi * (self.now / 13.0 + phase))
         return self.load * capacity / len(self.nodes_by_zone) * (1 + self.swing * wave)
 
-    def change_speed(self, server):
+    def _change_speed(self, server):
         server.slowness = 5.0 if self.generator.random() < 0.25 else 1.0
         if self.now < _RUN_S:
-            self.at(self.now + self.generator.expovariate(1 / 0.15), self.change_speed, server)
+            self._at(self.now + self.generator.expovariate(1 / 0.15), self._change_speed, server)
 
-    def arrive(self, zone):
+    def _arrive(self, zone):
         node = self.generator.choice(self.nodes_by_zone[zone])
         work_s = _SERVICE_TIME_S * self.generator.uniform(0.5, 1.5)
         view = node.placement.choose(self.now, "k", _SERVICE_TIME_S, 0, (), _LATE_S)
@@ -123,26 +124,26 @@
         server = self.by_id[view.server_id]
         self.out_of_zone += server.zone != zone
         one_way_s = (_ZONE_ROUND_TRIP_S if server.zone != zone else 0.0003) / 2
-        self.at(self.now + one_way_s, self.enqueue, server, (node, view, work_s, self.now))
+        self._at(self.now + one_way_s, self._enqueue, server, (node, view, work_s, self.now))
         if self.now < _RUN_S:
-            self.at(
-                self.now + self.generator.expovariate(self.demand_per_s(zone)), self.arrive, zone
+            self._at(
+                self.now + self.generator.expovariate(self._demand_per_s(zone)), self._arrive, zone
             )
 
-    def enqueue(self, server, request):
+    def _enqueue(self, server, request):
         server.waiting.append(request)
-        self.start(server)
+        self._start(server)
 
-    def start(self, server):
+    def _start(self, server):
         while server.waiting and server.running < _SLOTS:
             server.running += 1
             request = server.waiting.popleft()
-            self.at(self.now + request[2] * server.slowness, self.finish, server, request)
+            self._at(self.now + request[2] * server.slowness, self._finish, server, request)
 
-    def finish(self, server, request):
+    def _finish(self, server, request):
         server.running -= 1
         server.sequence += 1
-        self.start(server)
+        self._start(server)
         node = request[0]
         one_way_s = (_ZONE_ROUND_TRIP_S if server.zone != node.zone else 0.0003) / 2
         report = {
@@ -154,9 +155,9 @@
             "slowness_age_s": 0.0,
             "slow_for_s": 0.0,
         }
-        self.at(self.now + one_way_s, self.answer, request, report)
+        self._at(self.now + one_way_s, self._answer, request, report)
 
-    def answer(self, request, report):
+    def _answer(self, request, report):
         node, view, work_s, started_s = request
         view.observe_ended()
         view.observe_load(now=self.now, **report)
@@ -166,6 +167,7 @@
             self.shares.append(node.decision.share(self.now))
 
     def figures(self):
+        """Returns latencies, the share of late answers and the megabytes between zones."""
         ordered = sorted(self.latencies_s)
         return {
             "requests": len(ordered),
