Account for cold servers in the slots under a rate limit

Cause: the slots of a rate-limited server were computed with the service time at normal speed, so a cold zone far below its limit looked full. Change: the mean slowness of the server counts.

--- a/packages/policy/src/laburnumford_policy/placement/server_view.py
+++ b/packages/policy/src/laburnumford_policy/placement/server_view.py
@@ -157,11 +157,12 @@
         """Number of requests that run or wait at the server, with own ones since the report."""
         return max(self._load + self._sent_since_report, self.outstanding)
 
-    def usable_slots(self, service_time_s: float) -> float:
-        """Returns the requests that run at the same time, less under a rate limit."""
+    def usable_slots(self, now: float, service_time_s: float) -> float:
+        """Returns the requests that run at the same time at most, also under a rate limit."""
         if self.rate_limit_per_s is None:
             return self._limit
-        return min(self.rate_limit_per_s * service_time_s, self._limit)
+        run_time_s = service_time_s * self._mean_slowness(now)
+        return min(self.rate_limit_per_s * run_time_s, self._limit)
 
     def capacity(self, now: float, service_time_s: float) -> float:
         """Returns the work that the server completes, in seconds at normal speed per second.
@@ -171,11 +172,14 @@
         """
         capacity = self._measured_capacity
         if not capacity:
-            capacity = self._limit / (self._mean_slowdown * self.baseline(now))
+            capacity = self._limit / self._mean_slowness(now)
         if self.rate_limit_per_s is not None:
             capacity = min(capacity, self.rate_limit_per_s * service_time_s)
         return capacity * (1.0 - self.failure_share(now))
 
+    def _mean_slowness(self, now: float) -> float:
+        return self._mean_slowdown * self.baseline(now)
+
     def is_slow(self, now: float) -> bool:
         """Returns whether the server is estimated to be in a slowdown."""
         return self._speed(now).slow
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
@@ -1,6 +1,7 @@
 """Tests of the decision which requests may leave the availability zone."""
 
 import random
+import typing
 
 import pytest
 
@@ -47,7 +48,7 @@
             view for zone, views in self.views_by_zone.items() if zone != without for view in views
         )
 
-    def report(self, occupancy_by_zone, **values):
+    def report(self, occupancy_by_zone, slowness=1.0, **values):
         self.sequence += 1
         for zone, occupancy in occupancy_by_zone.items():
             for view in self.views_by_zone[zone]:
@@ -57,7 +58,7 @@
                     running=round(occupancy * _SLOTS),
                     waiting=0,
                     concurrency_limit=_SLOTS,
-                    slowness=1.0,
+                    slowness=slowness,
                     slowness_age_s=0.0,
                     slow_for_s=0.0,
                     **values,
@@ -345,6 +346,35 @@
     assert 0 < fleet.decision.share_by_zone["b"] < 0.15
 
 
+def test_cold_zone_below_its_rate_limit_is_not_short():
+    """Guards against traffic out of a zone whose servers are slow but take all requests.
+
+    Load: cold servers, half as fast as usual, take 8 requests a second; one request runs at every
+    second one of them, which is 5 requests a second.
+    """
+    fleet = _Fleet({"a": 4, "b": 6})
+    for _ in range(300):
+        fleet.now += 0.1
+        cold: dict[str, typing.Any] = {"limit_known": True, "rate_limit_per_s": 8.0, "tokens": 4.0}
+        fleet.report({"a": 0.25}, slowness=2.0, baseline=2.0, **cold)
+        fleet.report({"b": 0.25})
+        for view in fleet.views_by_zone["a"][::2]:
+            view.observe_load(
+                now=fleet.now,
+                sequence=fleet.sequence,
+                running=0,
+                waiting=0,
+                concurrency_limit=_SLOTS,
+                slowness=2.0,
+                slowness_age_s=0.0,
+                slow_for_s=0.0,
+                baseline=2.0,
+                **cold,
+            )
+        fleet.ask()
+        assert fleet.decision.share(fleet.now) == 0
+
+
 def _placement(fleet):
     made = placement.Placement(generator=random.Random(2), overflow=fleet.decision)
     made.apply(view for views in fleet.views_by_zone.values() for view in views)
--- a/packages/policy/src/laburnumford_policy/placement/zone_load.py
+++ b/packages/policy/src/laburnumford_policy/placement/zone_load.py
@@ -42,7 +42,7 @@
         if now < view.blocked_until_s:
             continue
         capacity += view.capacity(now, service_time_s)
-        view_slots = view.usable_slots(service_time_s)
+        view_slots = view.usable_slots(now, service_time_s)
         slots += view_slots
         if now - view.reported_s <= _REPORT_VALIDITY_S:
             known_slots += view_slots
