--- a/packages/mesh/src/laburnumford_mesh/tests/conftest.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/conftest.py
@@ -309,17 +309,17 @@
         """Returns a loopback address that depends on the process id, to avoid clashes."""
         return f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{index + 1}"
 
-    async def add(self, index):
+    async def add(self, index, *, zone="z"):
         """Starts a backend server and its node; returns the IP address of both."""
         ip = self.ip(index)
         backend = Backend(f"server-{index}")
         await backend.start(f"{ip}:0")
         self.backends.append(backend)
-        self.publish(f"servers/{index}", make_entry(backend.server_id, backend.address))
+        self.publish(f"servers/{index}", make_entry(backend.server_id, backend.address, zone=zone))
         own = settings.MeshSettings(
             node=f"node-{index}",
             ip=ip,
-            zone="z",
+            zone=zone,
             service="s",
             server_address=backend.address,
             edge_address=f"{ip}:17000",
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -296,3 +296,25 @@
     _, _, text = await fleet.request(ip, "GET", "/metrics", "m", port=17002)
     assert b'laburnumford_answers_total{kind="200"} 1' in text
     assert b"laburnumford_answer_seconds" in text
+
+
+async def test_nodes_of_two_zones_report_what_leaves_the_zone(fleet):
+    """Guards against nodes that lose the zone of a server, its distance or the metrics on the way.
+
+    Load pattern: the only server of a zone is gone and its requests go to the other zone.
+    """
+    addresses = [await fleet.add(index, zone=zone) for index, zone in enumerate("zy")]
+    for address in addresses:
+        await fleet.wait_until_ready(address)
+    await waiting.until(
+        lambda: all(made.server_count("s") == 2 for made in fleet.nodes), within_s=8.0
+    )
+    fleet.backends[0].stop()
+    for index in range(3):
+        assert (await fleet.request(addresses[0], "GET", "/get/1", str(index)))[0] == 200
+    _, _, text = await fleet.request(addresses[0], "GET", "/metrics", "m", port=17002)
+    assert b'laburnumford_requests_out_of_zone_total{kind="s"}' in text
+    assert b'laburnumford_zone_overflow_share{kind="s"} 0\n' in text
+    overflow = fleet.nodes[0]._services.overflow_by_service()["s"]
+    assumed_s = fleet.nodes[1]._services.overflow_by_service()["s"].round_trip_s("other")
+    assert 0 < overflow.round_trip_s("y") != assumed_s
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
@@ -3,6 +3,8 @@
 import random
 import typing
 
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
 from laburnumford_policy.placement import (
@@ -382,6 +384,40 @@
     return made
 
 
+_OCCUPANCY = st.floats(0, 4) | st.none()
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(
+    steps=st.lists(
+        st.tuples(st.tuples(_OCCUPANCY, _OCCUPANCY, _OCCUPANCY), st.floats(0, 3), st.booleans()),
+        min_size=1,
+        max_size=15,
+    )
+)
+def test_shares_are_valid_and_change_slowly_under_any_load(steps):
+    """Guards against shares below 0 or above 1 in total, jumps, and shares of absent zones.
+
+    Load: any sequence of occupancies, missing reports, pauses and evacuations.
+    """
+    fleet = _Fleet({"a": 2, "b": 3, "c": 1})
+    for occupancies, pause_s, evacuated in steps:
+        before = dict(fleet.decision.share_by_zone)
+        fleet.now += pause_s
+        known = zip("abc", occupancies, strict=True)
+        fleet.report({zone: each for zone, each in known if each is not None})
+        fleet.apply(without="c" if evacuated else "")
+        fleet.ask()
+        shares = fleet.decision.share_by_zone
+        assert all(0 < share <= 1 for share in shares.values())
+        assert sum(shares.values()) <= 1 + 1e-9
+        assert shares.keys() <= ({"b"} if evacuated else {"b", "c"})
+        assert all(
+            share - before.get(zone, 0) <= max(pause_s, 0.1) + 1e-9
+            for zone, share in shares.items()
+        )
+
+
 def _zone_chosen(made, now, excluded=()):
     view = made.choose(now, "k", _SERVICE_TIME_S, 0, excluded)
     assert view is not None
