Test bursts and further attempts of the zone overflow

Cause: tests passed without the smoothing of occupancies, and with further attempts inside the share. Steps of 0.1 s on the test's clock skipped updates by rounding. Change: one test of each; the steps are 0.125 s. Measured: each test fails without the line that it covers.

--- a/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_zone_overflow.py
@@ -17,6 +17,8 @@
 
 _SERVICE_TIME_S = 0.05
 _SLOTS = 4
+_STEP_S = 0.125
+"""Time between two reports; a power of two, so that no update is skipped by rounding."""
 
 
 class _Fleet:
@@ -70,10 +72,10 @@
         return self.decision.candidates(self.now, _SERVICE_TIME_S, size)
 
     def run(self, occupancy_by_zone, seconds=2.0, **values):
-        """Keeps an occupancy for some seconds; returns the share after each tenth of a second."""
+        """Keeps an occupancy for some seconds; returns the share after each step."""
         shares = []
-        for _ in range(round(seconds / 0.1)):
-            self.now += 0.1
+        for _ in range(round(seconds / _STEP_S)):
+            self.now += _STEP_S
             self.report(occupancy_by_zone, **values)
             self.ask()
             shares.append(self.decision.share(self.now))
@@ -145,23 +147,35 @@
         fleet = _Fleet({"a": 4, "b": 4}, own_zone=own)
         for step in range(40):
             high = 1.0 + (0.25 if step % 10 < 5 else 0.0)
-            assert set(fleet.run({"a": high, "b": 2.25 - high}, seconds=0.1)) == {0.0}
+            assert set(fleet.run({"a": high, "b": 2.25 - high}, seconds=_STEP_S)) == {0.0}
 
 
 def test_share_does_not_oscillate_around_the_start():
     """Guards against a share that alternates with single reports.
 
-    Load: an occupancy that alternates by a quarter every tenth of a second around the start.
+    Load: an occupancy that alternates by a quarter with each report around the start.
     """
     fleet = _Fleet({"a": 4, "b": 6})
     fleet.run({"a": 1.25, "b": 0.5})
     shares = [
-        fleet.run({"a": 1.0 if step % 2 else 1.25, "b": 0.5}, seconds=0.1)[0] for step in range(40)
+        fleet.run({"a": 1.0 if step % 2 else 1.25, "b": 0.5}, seconds=_STEP_S)[0]
+        for step in range(40)
     ]
     assert min(shares) > 0
     assert max(shares[5:]) - min(shares[5:]) < 0.15
 
 
+def test_short_burst_moves_nothing():
+    """Guards against traffic between zones for a burst that ends before it arrives there.
+
+    Load: three quarters of the slots, with an eighth of a second at 125 % in each second.
+    """
+    fleet = _Fleet({"a": 4, "b": 6})
+    for _ in range(10):
+        assert set(fleet.run({"a": 0.75, "b": 0.5}, seconds=7 * _STEP_S)) == {0.0}
+        assert set(fleet.run({"a": 1.25, "b": 0.5}, seconds=_STEP_S)) == {0.0}
+
+
 def test_share_grows_by_steps_and_is_reached_within_a_second():
     """Guards against a jump to another zone on the first report, and against a slow restart.
 
@@ -266,7 +280,7 @@
     for size, leaves in ((0.0, True), (20_000.0, False)):
         fleet = _Fleet({"a": 4, "b": 6})
         for _ in range(10):
-            fleet.now += 0.1
+            fleet.now += _STEP_S
             fleet.report({"a": 1.0, "b": 0.5})
             fleet.ask(size=size)
         assert bool(fleet.decision.share_by_zone) is leaves
@@ -325,7 +339,7 @@
     nominal, measured = _Fleet({"a": 4, "b": 4}), _Fleet({"a": 4, "b": 4})
     nominal.run({"a": 1.75, "b": 0.5})
     for _ in range(20):
-        measured.now += 0.1
+        measured.now += _STEP_S
         measured.report({"a": 1.75}, capacity=4.0)
         measured.report({"b": 0.5}, capacity=0.5)
         measured.ask()
@@ -341,7 +355,7 @@
     """
     fleet = _Fleet({"a": 4, "b": 4})
     for _ in range(20):
-        fleet.now += 0.1
+        fleet.now += _STEP_S
         fleet.report({"a": 1.75})
         fleet.report({"b": 0.0}, limit_known=True, rate_limit_per_s=8.0, tokens=4.0)
         fleet.ask()
@@ -356,7 +370,7 @@
     """
     fleet = _Fleet({"a": 4, "b": 6})
     for _ in range(300):
-        fleet.now += 0.1
+        fleet.now += _STEP_S
         cold: dict[str, typing.Any] = {"limit_known": True, "rate_limit_per_s": 8.0, "tokens": 4.0}
         fleet.report({"a": 0.25}, slowness=2.0, baseline=2.0, **cold)
         fleet.report({"b": 0.25})
@@ -449,6 +463,8 @@
     fleet = _Fleet({"a": 2, "b": 2, "c": 2})
     fleet.run({"a": 1.75, "b": 0.25, "c": 0.25})
     made = _placement(fleet)
+    assert _zone_chosen(made, fleet.now) != "a"
+    assert {_zone_chosen(made, fleet.now, {"a0"}) for _ in range(50)} == {"a"}
     assert _zone_chosen(made, fleet.now, {"a0", "a1", "b0", "b1"}) == "c"
 
 
