--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -6,7 +6,17 @@
 
 import pytest
 
-from laburnumford_mesh import call, clock, dispatcher, errors, frames, metrics, services, settings
+from laburnumford_mesh import (
+    call,
+    clock,
+    dispatcher,
+    errors,
+    frames,
+    metrics,
+    services,
+    settings,
+    share_holds,
+)
 from laburnumford_mesh.tests import conftest
 
 _AFTER_HEDGE_S = 0.15
@@ -102,7 +112,15 @@
     return frames.UnknownOutcome(request.call_id, "peer-timeout", _report(request))
 
 
-def _call(*, remaining_s=2.0, max_attempts=3, body=b"", idempotent=True, target_latency_s=0.15):
+def _call(
+    *,
+    remaining_s=2.0,
+    max_attempts=3,
+    body=b"",
+    idempotent=True,
+    target_latency_s=0.15,
+    connection=0,
+):
     now = clock.now()
     return call.Call(
         request_id="1",
@@ -119,6 +137,7 @@
         target_latency_s=target_latency_s,
         soft_deadline_s=now + remaining_s,
         deadline_s=now + remaining_s,
+        connection=connection,
     )
 
 
@@ -157,6 +176,7 @@
         names=conftest.NAMES,
         log=log,
         counters=metrics.Metrics(),
+        own_ip="127.0.0.1",
     )
 
 
@@ -318,3 +338,38 @@
         await two_server_dispatcher.dispatch(_call(max_attempts=1))
     left = scripted.requests[0].server_id
     assert left not in {request.server_id for request in scripted.requests[1:]}
+
+
+def _share_refusal(request):
+    report = frames.LoadReport(request.server_id, 1, 4, 9, 4, 1.0, 0.0, 0.0)
+    return frames.Refusal(request.call_id, "overloaded", 5.0, report, 3)
+
+
+async def test_caller_above_its_share_is_refused_without_asking_again(
+    two_server_dispatcher, scripted, monkeypatch
+):
+    """Guards against a flood whose requests each cost a message to every server.
+
+    Load pattern: a caller that comes back at once after each refusal. Other callers of the node
+    are not above their share, so their requests are sent.
+    """
+    monkeypatch.setattr(share_holds, "_MAX_HOLD_S", 60.0)
+    scripted.results = [(0.0, _share_refusal)]
+    with pytest.raises(errors.RefusedError):
+        await two_server_dispatcher.dispatch(_call(connection=7))
+    assert len(scripted.requests) == 2
+    with pytest.raises(errors.RefusedError) as refused:
+        await two_server_dispatcher.dispatch(_call(connection=7))
+    assert len(scripted.requests) == 2
+    assert refused.value.retry_after_s > 0
+    scripted.results = [(0.0, _answer(200))]
+    assert (await two_server_dispatcher.dispatch(_call(connection=8))).status == 200
+
+
+async def test_requests_and_offers_name_their_caller(two_server_dispatcher, scripted):
+    """Guards against shares that take all callers of a fleet for one."""
+    scripted.results = [(0.0, _answer(200))]
+    await two_server_dispatcher.dispatch(_call(connection=7, body=b"x" * 20_000))
+    for frame in (*scripted.offers, *scripted.requests):
+        assert (frame.caller_vm, frame.caller_connection) == ("127.0.0.1", 7)
+    assert scripted.offers
