--- a/packages/mesh/src/laburnumford_mesh/tests/test_share_gate.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_share_gate.py
@@ -10,7 +10,7 @@
 import pytest
 
 from laburnumford_mesh import frames, local_server, metrics
-from laburnumford_mesh.http import read_limits
+from laburnumford_mesh.http import buffer_budget, read_limits
 from laburnumford_mesh.tests import conftest, waiting
 
 _SERVICE_TIME_S = 0.1
@@ -30,7 +30,7 @@
         names=conftest.NAMES,
         log=log,
         limits=read_limits.ReadLimits(),
-        buffer_bytes=150_000,
+        budget=buffer_budget.BufferBudget(max_bytes=150_000),
         on_load_change=lambda: None,
         share_counters=counters,
     )
@@ -149,7 +149,7 @@
         names=conftest.NAMES,
         log=log,
         limits=read_limits.ReadLimits(),
-        buffer_bytes=150_000,
+        budget=buffer_budget.BufferBudget(max_bytes=150_000),
         on_load_change=lambda: None,
     )
     plain.apply(server_id="a", slots=conftest.SLOTS, health_path="")
