Close gaps in the tests of evacuation and eras

Cause: mutations showed that three tests passed without the behavior that they guard: no health checks while evacuated, the exclusion of the whole zone after a refusal, and records of older eras with a low revision.

Change: the tests now meet these cases; no product code is changed.

--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -328,10 +328,11 @@
 
     def answer_outside(request):
         number = int(request.server_id.rpartition("-")[2])
-        return _answer(200)(request) if number % 2 else _refusal("zone-evacuated")(request)
+        return _refusal("zone-evacuated")(request) if number % 2 else _answer(200)(request)
 
     scripted.results = [(0, answer_outside)]
     for _ in range(20):
         sent = len(scripted.requests)
         assert (await made.dispatch(_call(idempotent=False))).status == 200
         assert len(scripted.requests) - sent <= 2
+    assert len(scripted.requests) > 20
--- a/packages/mesh/src/laburnumford_mesh/tests/test_local_server_evacuation.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_local_server_evacuation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from laburnumford_mesh import frames
+from laburnumford_mesh import cold_start, frames
 from laburnumford_mesh.tests import conftest, waiting
 from laburnumford_mesh.tests.test_local_server import local  # noqa: F401
 
@@ -28,12 +28,18 @@
 
 
 async def test_evacuated_server_gets_no_health_check(local, backend):  # noqa: F811
-    """Guards against health checks, because nothing more may be sent to the zone."""
+    """Guards against health checks, because nothing more may be sent to the zone.
+
+    Without an answered one since the evacuation the server counts as cold, and a check is due.
+    """
+    local.set_cold_start(cold_start.ColdStart(per_s=8.0, duration_s=3.0))
+    await waiting.until(lambda: not local.cold)
     await local.run(conftest.make_request("0"))
+    await waiting.until(lambda: local._probe is None)
     local.observe_evacuation(evacuated=True)
+    seen = backend.health_checks
     # The id of the server is no longer trusted, so that a request for another one would probe.
     await asyncio.sleep(0.25)
-    seen = backend.health_checks
     for number in range(3):
         found = await local.run(conftest.make_request(str(number), server_id="other"))
         assert found.reason == "zone-evacuated"
--- a/packages/mesh/src/laburnumford_mesh/tests/test_record_set_eras.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_record_set_eras.py
@@ -1,6 +1,7 @@
 """Tests of record sets whose store comes back from older copies."""
 
 import hypothesis
+import pytest
 from hypothesis import stateful, strategies
 
 from laburnumford_mesh import record, record_set
@@ -123,14 +124,16 @@
     return made
 
 
-def test_record_that_the_store_has_lost_is_kept_until_it_expires():
+@pytest.mark.parametrize("revision", [3, 9])
+def test_record_that_the_store_has_lost_is_kept_until_it_expires(revision):
     """Guards against a forgotten evacuation, also in a node that starts at that time."""
-    known = _set(record.Record("op/evacuate/y", 9, b"{}"))
+    lost = record.Record("op/evacuate/y", revision, b"{}")
+    known = _set(lost)
     assert not known.apply_snapshot([], 5, 1)
     records, is_snapshot = known.changes_since(0)
     assert is_snapshot
     started = record_set.RecordSet()
-    assert started.apply_snapshot(records, 5, 1) == [record.Record("op/evacuate/y", 9, b"{}")]
+    assert started.apply_snapshot(records, 5, 1) == [lost]
     assert known.expire_older_eras() == [record.Record("op/evacuate/y", 5, None, 1)]
     assert not known.live()
 
