Receive published values also while bodies fill the memory

Cause: frames of more than 128 KB were reserved in the budget, among them large sets of published values, and a full budget closed the stream. Change: frames up to 1 MB are not counted.

--- a/packages/mesh/src/laburnumford_mesh/link.py
+++ b/packages/mesh/src/laburnumford_mesh/link.py
@@ -25,9 +25,10 @@
 """Bytes in the transport above which chunks of bodies wait, and bytes in the kernel that are not
 sent yet. A ping or a small request is queued behind both: 0.1 s on a link of 5 Mbit/s."""
 
-_MAX_UNCOUNTED_FRAME_BYTES = 2 * buffer_budget.SMALL_BODY_BYTES
-"""Fits a small body and its header fields. Larger frames, of nodes that send no chunks, and large
-sets of published values are counted while they are received."""
+_MAX_UNCOUNTED_FRAME_BYTES = 1024 * 1024
+"""Fits the published values of 10,000 servers, 0.5 MB compressed, which a node must learn also while
+bodies fill its memory. Larger frames are bodies of nodes that send no chunks; they are counted while
+they are received."""
 
 
 class Link(asyncio.Protocol):
--- a/packages/mesh/src/laburnumford_mesh/tests/test_bodies_in_chunks.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_bodies_in_chunks.py
@@ -62,9 +62,9 @@
     opened.abort()
 
 
-def _make_link(received):
+def _make_link(received, *, takes_chunks=True):
     return link.Link(
-        hello=frames.Hello(5, False, takes_chunks=True),
+        hello=frames.Hello(5, False, takes_chunks=takes_chunks),
         on_frame=lambda _, frame: received.append(frame),
         on_lost=lambda _: None,
         budget=buffer_budget.BufferBudget(max_bytes=1_000_000),
@@ -250,7 +250,16 @@
     assert not receiver.runs
 
 
-async def test_node_that_takes_no_chunks_gets_one_frame(receiver, raw):
+async def test_published_values_are_received_while_the_memory_is_full(receiver, raw):
+    """Guards against a node that learns of no configuration while bodies fill its memory."""
+    send, received, _ = raw
+    receiver.budget.take(receiver.budget.max_bytes)
+    send(frames.PullResponse(1, 0.0, True, bytes(500_000)))
+    send(frames.Ping())
+    await waiting.until(lambda: _of_type(received, frames.Pong))
+
+
+async def test_node_that_takes_no_chunks_gets_an_answer_in_one_frame(receiver, raw):
     """Guards against frames that a node of an earlier version cannot decode."""
     send, received, _ = raw
     receiver.answer_body = BODY
@@ -270,3 +279,18 @@
     send(frames.Cancel(1))
     await waiting.until(lambda: not receiver.budget.reserved_bytes)
     await waiting.until(lambda: receiver.listener.in_flight_count == 0)
+
+
+async def test_node_that_takes_no_chunks_gets_a_request_in_one_frame():
+    """Guards against a call that is never answered by a node of an earlier version."""
+    received: list[Any] = []
+    server = await asyncio.get_running_loop().create_server(
+        lambda: _make_link(received, takes_chunks=False), "127.0.0.1", 0
+    )
+    sender = call_ends.Sender(server.sockets[0].getsockname()[1])
+    call = sender.call(body=BODY)
+    await waiting.until(lambda: _of_type(received, frames.Request))
+    assert _of_type(received, frames.Request)[0].body == BODY
+    call.cancel()
+    await sender.close()
+    server.close()
