Keep a round trip that was measured before the zone of the node is known

Cause: a starting node pulls values from another node before it knows the entries; the round trip of that stream was dropped, and the next ping follows 10 s later (test_nodes_of_two_zones failed in 4 of 7 runs). Change: the latest round trip of each node is kept and counts as soon as its server is known.

--- a/packages/mesh/src/laburnumford_mesh/services.py
+++ b/packages/mesh/src/laburnumford_mesh/services.py
@@ -68,6 +68,7 @@
     ) -> None:
         self._zone = zone
         self._link = link_budget.LinkBudget(link_mbps=link_mbps)
+        self._round_trip_s_by_ip: dict[str, float] = {}
         self._round_trip_s_by_zone: dict[str, float] = {}
         self._server_address = server_address
         self._retry_budget_settings = retry_budget
@@ -112,13 +113,20 @@
         return {service: state.overflow for service, state in self._state_by_service.items()}
 
     def observe_round_trip(self, ip: str, seconds: float) -> None:
-        """Records the measured network round trip to a node."""
+        """Records the measured network round trip to a node.
+
+        The first stream to a node may be opened before the entries of its servers are known.
+        """
+        self._round_trip_s_by_ip[ip] = seconds
         for zone in {view.zone for view in self._views_at(ip) if view.other_zone}:
-            known = self._round_trip_s_by_zone.get(zone, seconds)
-            mean_s = known + _ROUND_TRIP_WEIGHT * (seconds - known)
-            self._round_trip_s_by_zone[zone] = mean_s
-            for state in self._state_by_service.values():
-                state.overflow.observe_round_trip(zone, mean_s)
+            self._observe_zone_round_trip(zone, seconds)
+
+    def _observe_zone_round_trip(self, zone: str, seconds: float) -> None:
+        known = self._round_trip_s_by_zone.get(zone, seconds)
+        mean_s = known + _ROUND_TRIP_WEIGHT * (seconds - known)
+        self._round_trip_s_by_zone[zone] = mean_s
+        for state in self._state_by_service.values():
+            state.overflow.observe_round_trip(zone, mean_s)
 
     def apply(self, entries: Iterable[server_entry.ServerEntry], node_count: int) -> None:
         """Replaces the servers that may receive requests, and the number of nodes."""
@@ -221,6 +229,9 @@
             slots=entry.slots,
             zone=entry.zone,
         )
+        seconds = self._round_trip_s_by_ip.get(entry.ip)
+        if view.other_zone and seconds is not None:
+            self._observe_zone_round_trip(entry.zone, seconds)
         view.started_ms = entry.started_ms
         view.cold_until_s = clock.now() + entry.cold_remaining_s
         return view
--- a/packages/mesh/src/laburnumford_mesh/tests/test_services.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_services.py
@@ -84,6 +84,22 @@
     assert _overflow_round_trip_s(learned, "z") < 0.02
 
 
+def test_round_trip_measured_before_the_entry_is_known_counts(learned):
+    """Guards against a lost measurement.
+
+    A starting node pulls values from a node before it knows the zone of that node.
+    """
+    learned.observe_round_trip("127.0.0.4", 0.02)
+    learned.apply(
+        [
+            conftest.make_entry("a", "127.0.0.2:1"),
+            conftest.make_entry("c", "127.0.0.4:1", zone="y"),
+        ],
+        node_count=2,
+    )
+    assert _overflow_round_trip_s(learned, "y") == 0.02
+
+
 def test_measured_round_trip_does_not_change_the_choice_in_a_zone(learned):
     """Guards against a choice that differs from before while the zone has room."""
     view = learned.state("s").placement.views_by_id["a"]
