--- a/packages/policy/src/laburnumford_policy/placement/tests/test_fair_admission.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_fair_admission.py
@@ -195,7 +195,9 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-@pytest.mark.parametrize("load", ["high floods", "one of eight classes floods"])
+@pytest.mark.parametrize(
+    "load", ["high floods", "high floods and returns", "one of eight classes floods"]
+)
 def test_no_class_starves(outcomes, load, seed):
     """Guards against a class that is served less than a quarter as often as all."""
     fair = outcomes(share_load.FairShare, load, seed)
