--- a/packages/policy/src/laburnumford_policy/placement/served_ratios.py
+++ b/packages/policy/src/laburnumford_policy/placement/served_ratios.py
@@ -14,10 +14,6 @@
 """Ratio to that of all classes below which a class counts as starving. The guaranteed ratio is
 0.25; the rest makes up for requests that are accepted but not served."""
 
-_MAX_RATIO_TO_HIGHER = 0.9
-"""Ratio to each class of higher priority above which a class is not raised. Otherwise two classes
-at the floor are served alike, and by chance the lower one better."""
-
 _MIN_REQUESTS = 4.0
 """Weighted number of requests below which a ratio says nothing."""
 
@@ -79,13 +75,7 @@
         counts = self._counts_by_class.get(request_class)
         if counts is None or counts.arrived < _MIN_REQUESTS:
             return False
-        if counts.ratio >= _FLOOR * self._all.ratio:
-            return False
-        return all(
-            counts.ratio < _MAX_RATIO_TO_HIGHER * other.ratio
-            for other in self._counts_by_class.values()
-            if other.priority < counts.priority and other.arrived >= _MIN_REQUESTS
-        )
+        return counts.ratio < _FLOOR * self._all.ratio
 
     def effective_priority(self, request_class: str, priority: int) -> int:
         """Returns the priority at which a request is queued.
