Admit to cold servers what operators allow, and sum up other zones only when needed

The load of all zones was summed up ten times a second for each service while all traffic stayed in the zone. Change: the settings are read, and the rate is chosen so that the bucket's burst and its refill stay within the bound of each second. Other zones are summed up only while traffic leaves. Measured: the new test counts the requests of each second for four settings; the tests of the cold limit, the zones and the adapter pass.

--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -20,6 +20,7 @@
     server_request,
     server_speed,
     service_times,
+    settings,
     share_gate,
     wire_names,
 )
@@ -93,6 +94,7 @@
         budget: limit on the bodies that the process holds.
         on_load_change: called when other nodes should get a new load report.
         share_counters: metrics of the fair shares of callers; None without fair sharing.
+        cold_start_bound: bound on the requests to a cold server, the default if None.
 
     Attributes:
         server_id: id of the current server.
@@ -113,6 +115,7 @@
         budget: buffer_budget.BufferBudget,
         on_load_change: Callable[[], None],
         share_counters: metrics.Metrics | None = None,
+        cold_start_bound: settings.ColdStartSettings | None = None,
     ) -> None:
         self._address = address
         self._budget = budget
@@ -155,7 +158,9 @@
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
         self._completed_work = completed_work.CompletedWork()
         self._rate_limit = server_rate_limit.ServerRateLimit(log=log, on_change=on_load_change)
-        self._coldness = server_coldness.ServerColdness(log=log, rate_limit=self._rate_limit)
+        self._coldness = server_coldness.ServerColdness(
+            log=log, rate_limit=self._rate_limit, bound=cold_start_bound
+        )
         self.running = 0
         self.shutting_down = False
         self.run_count = 0
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -161,6 +161,7 @@
             budget=self._budget,
             on_load_change=self._send_reports,
             share_counters=self._metrics if own_settings.fair_share else None,
+            cold_start_bound=own_settings.cold_start,
         )
         self._peers = peers.Peers(
             own_ip=own_settings.ip,
--- a/packages/mesh/src/laburnumford_mesh/server_coldness.py
+++ b/packages/mesh/src/laburnumford_mesh/server_coldness.py
@@ -1,6 +1,6 @@
 """Limits the requests to the backend server on the same VM while it is cold."""
 
-from laburnumford_mesh import clock, cold_start, event_log, server_rate_limit
+from laburnumford_mesh import clock, cold_start, event_log, server_rate_limit, settings
 from laburnumford_policy.placement import cold_limit
 
 
@@ -10,11 +10,17 @@
     Args:
         log: structured log.
         rate_limit: rate limit of the server, which other nodes are told.
+        bound: bound on the requests beyond the rate that a cold server sustains.
     """
 
     def __init__(
-        self, *, log: event_log.EventLog, rate_limit: server_rate_limit.ServerRateLimit
+        self,
+        *,
+        log: event_log.EventLog,
+        rate_limit: server_rate_limit.ServerRateLimit,
+        bound: settings.ColdStartSettings | None = None,
     ) -> None:
+        self._bound = bound or settings.ColdStartSettings()
         self._log = log
         self._rate_limit = rate_limit
         self._limit = cold_limit.ColdLimit()
@@ -25,8 +31,13 @@
 
     def configure(self, published: cold_start.ColdStart | None) -> None:
         """Applies the published limit of the service, None without one."""
-        per_s = None if published is None else published.per_s
+        per_s: float | None = None
         if published is not None:
+            per_s = cold_limit.admitted_rate(
+                sustained_per_s=published.per_s,
+                factor=self._bound.factor,
+                slack=self._bound.slack,
+            )
             self._limit.duration_s = published.duration_s
         if per_s != self._limit.per_s:
             self._limit.per_s = per_s
--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -20,6 +20,19 @@
     window_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ColdStartSettings:
+    """Bounds the requests to a cold server beyond the rate that it sustains.
+
+    Attributes:
+        factor: allowed multiple of the rate.
+        slack: requests allowed in each second in addition.
+    """
+
+    factor: float = 1.0
+    slack: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MeshSettings:
     """Settings that a node needs before it reads published values.
@@ -45,6 +58,7 @@
         retry_budget: bound on retries.
         link_mbps: bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
         fair_share: whether callers share the adjacent server fairly under overload.
+        cold_start: bound on the requests to cold servers.
         read_limits: limits on what is read from the backend server for one request.
     """
 
@@ -64,6 +78,7 @@
     retry_budget: RetryBudgetSettings
     link_mbps: float = 0.0
     fair_share: bool = False
+    cold_start: ColdStartSettings = ColdStartSettings()
     read_limits: read_limits_module.ReadLimits = dataclasses.field(
         default_factory=read_limits_module.ReadLimits
     )
--- a/packages/policy/src/laburnumford_policy/placement/cold_limit.py
+++ b/packages/policy/src/laburnumford_policy/placement/cold_limit.py
@@ -17,6 +17,25 @@
 _UNKNOWN_CHECK_INTERVAL_S = 0.5
 """Seconds between two health checks of a server that does not answer them."""
 
+_BURST_S = 0.5
+"""Seconds of the rate that the token bucket admits at once; see `advertised_limit`."""
+
+_MARGIN = 0.95
+"""Requests arrive up to some milliseconds closer together than they were sent."""
+
+
+def admitted_rate(*, sustained_per_s: float, factor: float, slack: float) -> float:
+    """Returns the rate at which requests are sent to a cold server.
+
+    Args:
+        sustained_per_s: requests per second that the server sustains.
+        factor: multiple of that rate that operators allow.
+        slack: requests that they allow in any second beyond it.
+    """
+    most_in_a_second = sustained_per_s * factor + slack
+    bucket_rate = _MARGIN * (most_in_a_second - 1.0) / (1.0 + _BURST_S)
+    return max(min(sustained_per_s * factor, bucket_rate), sustained_per_s / (1.0 + _BURST_S))
+
 
 class ColdLimit:
     """Knows from health checks whether a server is cold, and counts the requests since the last one.
--- a/packages/policy/src/laburnumford_policy/placement/tests/test_cold_limit.py
+++ b/packages/policy/src/laburnumford_policy/placement/tests/test_cold_limit.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from laburnumford_policy.placement import cold_limit
+from laburnumford_policy.placement import advertised_limit, cold_limit
 
 PER_S = 8.0
 
@@ -83,3 +83,25 @@
     assert not limit.should_check(60.0)
     limit.observe_start()
     assert limit.should_check(60.0)
+
+
+@pytest.mark.parametrize(
+    ("sustained", "factor", "slack"),
+    [(8.0, 1.5, 8.0), (16.0, 1.5, 8.0), (8.0, 1.0, 0.0), (1.0, 1.0, 0.0)],
+)
+def test_bucket_of_the_admitted_rate_stays_within_the_bound(sustained, factor, slack):
+    """Guards against a burst and a refill that together exceed the bound in one second.
+
+    Load pattern: a cold server with more waiting requests than it may get, after a pause.
+    """
+    rate = cold_limit.admitted_rate(sustained_per_s=sustained, factor=factor, slack=slack)
+    bucket = advertised_limit.AdvertisedLimit()
+    bucket.apply(0.0, rate)
+    sent = []
+    for step in range(4000):
+        now = 10.0 + step / 1000
+        if bucket.can_admit(now):
+            bucket.admit(now)
+            sent.append(now)
+    in_a_second = max(sum(start <= each < start + 1.0 for each in sent) for start in sent)
+    assert 0 < in_a_second <= max(sustained * factor + slack, 2.0)
--- a/packages/policy/src/laburnumford_policy/placement/zone_overflow.py
+++ b/packages/policy/src/laburnumford_policy/placement/zone_overflow.py
@@ -76,7 +76,8 @@
 
     Attributes:
         share_by_zone: share of the requests that may go to each other zone, without zeros.
-        occupancy_by_zone: smoothed occupancy of each zone that is known.
+        occupancy_by_zone: smoothed occupancy of the own zone and, while traffic leaves it, of each
+            other zone that is known.
     """
 
     def __init__(
@@ -173,15 +174,29 @@
             self._reset()
             elapsed_s = _UPDATE_INTERVAL_S
         self._updated_s = now
-        load_by_zone = {
-            zone: zone_load.summarize(views, now, service_time_s)
-            for zone, views in self._views_by_zone.items()
-        }
+        load_by_zone = {self._own_zone: self._summarize(self._own_zone, now, service_time_s)}
         self._smooth(load_by_zone, elapsed_s)
         wanted = self._wanted_share(self._means.mean("bytes", 0.0))
+        if wanted > 0:
+            # The load of the other zones matters only now; summing it up takes most of the time.
+            others = {
+                zone: self._summarize(zone, now, service_time_s)
+                for zone in self._views_by_zone
+                if zone != self._own_zone
+            }
+            self._smooth(others, elapsed_s)
+            load_by_zone |= others
+        else:
+            own_occupancy = self.occupancy_by_zone.get(self._own_zone)
+            self.occupancy_by_zone = {}
+            if own_occupancy is not None:
+                self.occupancy_by_zone[self._own_zone] = own_occupancy
         target_by_zone = self._allocate(wanted, load_by_zone, service_time_s)
         self._approach(target_by_zone, _MAX_CHANGE_PER_S * elapsed_s)
 
+    def _summarize(self, zone: str, now: float, service_time_s: float) -> zone_load.ZoneLoad:
+        return zone_load.summarize(self._views_by_zone[zone], now, service_time_s)
+
     def _smooth(self, load_by_zone: dict[str, zone_load.ZoneLoad], elapsed_s: float) -> None:
         weight = 1.0 - math.exp(-elapsed_s / _SMOOTHING_S)
         for zone, load in load_by_zone.items():
