--- a/packages/mesh/src/laburnumford_mesh/settings.py
+++ b/packages/mesh/src/laburnumford_mesh/settings.py
@@ -29,8 +29,8 @@
         slack: requests allowed in each second in addition.
     """
 
-    factor: float = 1.0
-    slack: float = 0.0
+    factor: float = 1.5
+    slack: float = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
