Pause between reads of a store that is behind the known values

Cause: a node that learned a revision from a peer which its store does not have got 410 for its watch, ignored the full read as too old, and watched again at once: endless reads without a pause, and a hang where the store answers at once. It made test_largest_body_passes_on_a_small_vm fail in about half of its runs; the traceback of the process shows the loop. Change: a full read that is behind the known values of the same era is a failed read, so the node backs off as for any other. Measured: the new test counts 21 reads and more before and passes now; the tests of large bodies and of the store pass.

--- a/packages/mesh/src/laburnumford_mesh/store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/store_sync.py
@@ -318,6 +318,11 @@
         current_as_of_s = clock.now()
         if not self.revision or self._history_lost:
             changes = await self._source.read_all()
+            if changes.era == self.era and changes.revision < self.revision:
+                # A watch would be refused and a full read would follow at once, again and again.
+                raise errors.StoreError(
+                    f"revision: found {changes.revision}; allowed: {self.revision} or more"
+                )
             self._history_lost = False
             is_snapshot = True
         else:
--- a/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_store_sync.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from laburnumford_mesh import clock, store_sync
+from laburnumford_mesh import clock, errors, store_sync
 from laburnumford_mesh.tests import conftest, waiting
 
 _RENEWAL_INTERVAL_S = 0.01
@@ -178,3 +178,32 @@
     assert made.observe_peer_revision(newer, 0.0, made.revision)
     busy_store.down = True
     await waiting.until(lambda: made.observe_peer_revision(newer, 0.0, newer))
+
+
+async def test_store_behind_the_known_values_is_not_read_without_a_pause(
+    busy_store, start, monkeypatch
+):
+    """Guards against a node that hangs or floods a store that shows fewer changes than a peer did.
+
+    The store refuses a watch from a revision that it does not have, and its full read is ignored.
+    """
+    max_reads = 20
+    reads = 0
+    read_all = busy_store.read_all
+
+    async def count_and_read():
+        nonlocal reads
+        reads += 1
+        if reads > max_reads:
+            raise errors.StoreError("ends the endless reads")
+        return await read_all()
+
+    monkeypatch.setattr(busy_store, "read_all", count_and_read)
+    made, _ = start(0)
+    await waiting.until(lambda: made.revision)
+    made.apply_peer_records([], made.revision + 5, 0.0, is_snapshot=False)
+    known = made.revision
+    reads_before = made.read_count
+    await waiting.until(lambda: made.read_count > reads_before + 2)
+    assert reads < max_reads
+    assert made.revision == known
