--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -15,6 +15,7 @@
     load_header,
     metrics,
     server_coldness,
+    server_lifecycle,
     server_notice,
     server_rate_limit,
     server_request,
@@ -58,18 +59,9 @@
 _MIN_PROBE_INTERVAL_S = 0.02
 """Limits the probes to 50 per second; the platform allows 60."""
 
-_SERVER_ID_VALIDITY_S = 0.2
-"""Time for which an id that the server sent is trusted. A server may end and another one start
-at its address within seconds."""
-
 _DOWN_AFTER_CONNECT_ERROR_S = 0.3
 """Time for which the server counts as down after a failed connect."""
 
-_DRAIN_START_WINDOW_S = 0.4
-"""Seconds after this node has learned of the draining in which requests still start. A node learns
-of a change up to 1.5 s late if gossip or the store fails for a moment, and the shortest published
-time after which the server must get no more requests is 2 s."""
-
 _OVERLOADED_REASON = "overloaded"
 """Requests ahead, or callers below their share, leave no room to answer the request in time."""
 
@@ -97,7 +89,6 @@
         cold_start_bound: bound on the requests to a cold server, the default if None.
 
     Attributes:
-        server_id: id of the current server.
         running: number of requests that run on the server.
         shutting_down: whether the node refuses new requests because it stops.
         run_count: number of requests that the server has answered.
@@ -146,14 +137,9 @@
         self._probe: asyncio.Task[None] | None = None
         self._last_probe_s = -math.inf
         self._down_until_s = -math.inf
-        self._draining_from_s: float | None = None
-        self._started_ms = 0
-        self._leaving_server_id = ""
-        self._leaving_started_ms = 0
+        self._lifecycle = server_lifecycle.ServerLifecycle(log=log)
         self._evacuated = False
         self._unreachable = False
-        self.server_id = ""
-        self._server_id_confirmed_s = -math.inf
         self._cold_server_id = ""
         self._concurrency_limit = knee_limit.KneeLimit(slots=1)
         self._completed_work = completed_work.CompletedWork()
@@ -167,6 +153,11 @@
         self.probe_count = 0
         self.malformed_field_count = 0
 
+    @property
+    def server_id(self) -> str:
+        """Id of the current server."""
+        return self._lifecycle.server_id
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait for a slot."""
@@ -210,15 +201,10 @@
             started_ms: Unix time of the start of the server in milliseconds, 0 if unknown.
         """
         self._health_path = health_path
-        self._started_ms = started_ms
-        if server_id == self._leaving_server_id and started_ms > self._leaving_started_ms:
-            # The server has left and started again under the same id.
-            self._leaving_server_id = ""
+        self._lifecycle.apply(server_id, started_ms)
         if cold and server_id != self._cold_server_id:
             self._cold_server_id = server_id
             self._speed.expect_cold()
-        if not self._is_server_id_confirmed():
-            self.server_id = server_id
         self._coldness.observe_registration(server_id, started_ms)
         self._set_slots(max(slots, 1))
         self._start_waiting_requests()
@@ -228,16 +214,7 @@
 
         An entry does not undo that the server itself has said so.
         """
-        if not draining and not self._is_leaving():
-            self._draining_from_s = None
-        elif self._draining_from_s is None:
-            self._draining_from_s = clock.now()
-            self._log.write(
-                "server_draining",
-                server=self.server_id,
-                waiting=self.waiting,
-                said_by_server=self._is_leaving(),
-            )
+        self._lifecycle.observe_draining(draining=draining, waiting=self.waiting)
 
     def observe_evacuation(self, *, evacuated: bool) -> None:
         """Records whether the zone of the server is evacuated.
@@ -410,7 +387,7 @@
             raise errors.RefusedError("leaving")
         if self._evacuated:
             raise errors.RefusedError(_EVACUATED_REASON)
-        if self._is_drain_start_window_over(started_s):
+        if self._lifecycle.is_drain_start_window_over(started_s):
             raise errors.RefusedError("server-draining")
         if started_s < self._down_until_s:
             raise errors.RefusedError("server-down")
@@ -521,14 +498,6 @@
             self._slot_grant_by_id.pop(entry.entry_id, None)
         return entry.entry_id
 
-    def _is_leaving(self) -> bool:
-        """Returns whether the current server has said that it is about to end."""
-        return bool(self.server_id) and self._leaving_server_id == self.server_id
-
-    def _is_drain_start_window_over(self, now: float) -> bool:
-        since_s = self._draining_from_s
-        return since_s is not None and now - since_s > _DRAIN_START_WINDOW_S
-
     def _late_after_s(
         self, request: frames.Request | frames.Offer, service_time_s: float, now: float
     ) -> float:
@@ -566,24 +535,18 @@
 
     async def _is_current_server(self, server_id: str) -> bool:
         """Returns whether an id is that of the current server; probes the server if necessary."""
-        if not self._is_server_id_confirmed():
+        if not self._lifecycle.is_confirmed():
             self._start_probe(clock.now())
             if self._probe is not None:
                 await asyncio.wait({self._probe})
         # Without a probe answer, the server checks the id in the request itself.
-        return server_id == self.server_id or not self._is_server_id_confirmed()
-
-    def _is_server_id_confirmed(self) -> bool:
-        return clock.now() - self._server_id_confirmed_s < _SERVER_ID_VALIDITY_S
+        return server_id == self.server_id or not self._lifecycle.is_confirmed()
 
     def _observe_server_id(self, value: bytes | None) -> None:
         if value is None:
             return
-        self._server_id_confirmed_s = clock.now()
         received_id = value.decode("latin-1")
-        if received_id != self.server_id:
-            self._log.write("server_changed", server=received_id, previous=self.server_id)
-            self.server_id = received_id
+        if self._lifecycle.observe_id(received_id):
             self._coldness.forget(received_id)
 
     async def _exchange(self, request: frames.Request, deadline_s: float, entry_id: int) -> Any:
@@ -729,11 +692,8 @@
             )
         if is_health_check and not notice.cold_malformed:
             self._coldness.observe_check(notice.cold_remaining_s or 0.0)
-        if notice.leaving and server_id != self._leaving_server_id:
-            self._leaving_server_id = server_id
-            self._leaving_started_ms = self._started_ms
-            if self._is_leaving():
-                self.observe_draining(draining=True)
+        if notice.leaving and self._lifecycle.observe_leaving(server_id):
+            self.observe_draining(draining=True)
         if notice.limit_malformed or (is_health_check and notice.rate_limit_per_s is None):
             return
         self._rate_limit.observe_server(server_id, notice.rate_limit_per_s)
@@ -836,7 +796,7 @@
                 retry_after_s = self._rate_limit.bucket.wait_s(now, len(self._queue))
                 self._refuse_waiting_request(entry, _RATE_LIMIT_REASON, retry_after_s)
         while (
-            self._is_drain_start_window_over(now)
+            self._lifecycle.is_drain_start_window_over(now)
             and (waiting := self._queue.pop_next(now)) is not None
         ):
             self._refuse_waiting_request(waiting, "server-draining")
