--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -185,7 +185,12 @@
     async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         fields = _fields(lines)
-        await reader.readexactly(int(fields.get("content-length", "0")))
+        left = int(fields.get("content-length", "0"))
+        while left:
+            data = await reader.read(min(left, 1 << 16))
+            if not data:
+                raise asyncio.IncompleteReadError(b"", left)
+            left -= len(data)
         load = f"X-Instance: {self.server_id}\r\nX-Server-Load: "
         load += f"{self._running},{self._waiting},12,100\r\n"
         if lines[0].split(" ")[1] == "/health":
@@ -223,6 +228,10 @@
 
 async def _write_answer(writer: asyncio.StreamWriter, status: int, head: str, size: int) -> None:
     writer.write(f"HTTP/1.1 {status} X\r\n{head}Content-Length: {size}\r\n\r\n".encode())
+    await _write_body(writer, size)
+
+
+async def _write_body(writer: asyncio.StreamWriter, size: int) -> None:
     while size:
         writer.write(_BLOCK[: min(size, len(_BLOCK))])
         size -= min(size, len(_BLOCK))
@@ -449,8 +458,8 @@
             head += f"Content-Length: {body}\r\n"
         keep = False
         try:
-            writer.write(head.encode() + b"\r\n" + _BLOCK[:body])
-            await writer.drain()
+            writer.write(head.encode() + b"\r\n")
+            await _write_body(writer, body)
             outcome.sent_s = now()
             async with asyncio.timeout(deadline_ms / 1000 + 0.5):
                 keep = await _read_answer(reader, outcome)
