--- a/review/standin2/world.py
+++ b/review/standin2/world.py
@@ -606,6 +606,11 @@
             finally:
                 world.end()
 
+    def stop(*_: object) -> None:
+        raise SystemExit(2)
+
+    # The nodes end with the case also if it is stopped.
+    signal.signal(signal.SIGTERM, stop)
     try:
         violations = asyncio.run(run())
         status = 1 if violations else 0
