Pass on a status that promises "not run" only with its proof

With 429 or 408 it was a hundred bookings in 6 s, because these answers did not count as failures and the server kept its share.

Cause: LocalServer treated only 421 and marked answers as refusals, and Dispatcher passed on all other answers below 500, or any answer to a request that may not be repeated. Nothing asked for the proof of a status that is a promise.

answer_outcome.classify now says what an answer proves, by status, mark and signature. An unproved 408, 429 or 503 is an unknown outcome: 502 without a signature for bookings, another server for idempotent requests, and a failure for the choice of servers. The check is made where every attempt ends, so answers through other nodes, hedges, repetitions and early answers pass it too.

The test of a server that leaves expects the error for its unproved 503 now; what it checks, that the server gets no further request, is the same.

--- a/packages/client/src/laburnumford_client/reason_text.py
+++ b/packages/client/src/laburnumford_client/reason_text.py
@@ -20,6 +20,7 @@
     "peer-timeout": "the node of the server did not answer in time",
     "peer-unreachable": "the node of the server could not be reached",
     "rate-limited": "the rate limit of the server admitted the request too late",
+    "refusal-unproved": "the server refused the request without stating that it had not run",
     "route-unknown-yet": "no route matched, and the node's values were too old to be sure",
     "server-down": "the server accepted no connection",
     "server-draining": "the server was about to end",
--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from laburnumford_mesh import (
+    answer_outcome,
     call,
     clock,
     decision_figures,
@@ -402,8 +403,19 @@
             if result is not None:
                 self._observe_result(ongoing, state, view, result, ended_s)
                 self._log_attempt(ongoing, view, result, ended_s - started_s, figures)
+        return self._without_unproved_answer(result)
+
+    def _without_unproved_answer(self, result: Result) -> Result:
+        """Returns an unknown outcome in place of an answer that claims more than it proves."""
+        if isinstance(result, frames.Answer) and self._is_unproved(result):
+            reason = answer_outcome.Outcome.UNPROVED.value
+            return frames.UnknownOutcome(result.call_id, reason, result.load)
         return result
 
+    def _is_unproved(self, result: frames.Answer) -> bool:
+        outcome = answer_outcome.classify(result.status, result.fields, self._names)
+        return outcome is answer_outcome.Outcome.UNPROVED
+
     async def _send(
         self,
         ongoing: call.Call,
@@ -503,7 +515,8 @@
         if isinstance(result, frames.Answer):
             if server_notice.parse(result.fields, self._names).leaving:
                 self._services.exclude_leaving(view)
-            view.observe_result(now=now, failed=result.status >= 500)
+            failed = result.status >= 500 or self._is_unproved(result)
+            view.observe_result(now=now, failed=failed)
             if result.status < 300:
                 state.placement.observe_answer(
                     ongoing.route_name,
@@ -537,6 +550,8 @@
         if isinstance(result, frames.Answer):
             values["status"] = result.status
             values["work_ms"] = round(result.service_time_s * 1000, 1)
+            if self._is_unproved(result):
+                values["unknown"] = answer_outcome.Outcome.UNPROVED.value
         else:
             values["refused" if isinstance(result, frames.Refusal) else "unknown"] = result.reason
         values |= figures
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from laburnumford_mesh import (
+    answer_outcome,
     clock,
     cold_start,
     errors,
@@ -640,15 +641,15 @@
         slowness: float,
     ) -> Any:
         value_by_name = dict(answer.fields)
+        outcome = answer_outcome.classify(answer.status, answer.fields, self._names)
         self._observe_load(value_by_name.get(self._names.load))
-        if answer.status != 421:
+        if outcome is not answer_outcome.Outcome.MISDIRECTED:
             self._observe_notice(answer, request.server_id, is_health_check=False)
-        if answer.status == 421 or self._names.not_run in value_by_name:
+        if outcome.proves_not_run:
             self._observe_server_id(value_by_name.get(self._names.server_id))
-            reason = "misdirected" if answer.status == 421 else "server-refused"
-            return self.refusal(request.call_id, reason)
-        if answer.status < 300 and self._names.signature not in value_by_name:
-            return frames.UnknownOutcome(request.call_id, "answer-unsigned", self.report())
+            return self.refusal(request.call_id, outcome.value)
+        if outcome is answer_outcome.Outcome.UNSIGNED:
+            return frames.UnknownOutcome(request.call_id, outcome.value, self.report())
         if answer.status < 300:
             work_s = service_time_s / max(slowness, 1.0)
             self._service_times.observe(request.request_class, work_s)
--- a/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 """Tests of the dispatcher with peers that return predefined results."""
 
 import asyncio
+import contextlib
 import random
 import typing
 
@@ -346,7 +347,8 @@
         )
 
     scripted.results = [(0.0, leaving), (0.0, _answer(200))]
-    await two_server_dispatcher.dispatch(_call(max_attempts=1))
+    with contextlib.nullcontext() if status == 200 else pytest.raises(errors.UnknownOutcomeError):
+        await two_server_dispatcher.dispatch(_call(max_attempts=1))
     for _ in range(10):
         await two_server_dispatcher.dispatch(_call(max_attempts=1))
     left = scripted.requests[0].server_id
@@ -415,3 +417,50 @@
     for frame in (*scripted.offers, *scripted.requests):
         assert (frame.caller_vm, frame.caller_connection) == ("127.0.0.1", 7)
     assert scripted.offers
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_refusal_of_a_server_without_its_mark_is_not_passed_on(
+    two_server_dispatcher, scripted, status
+):
+    """Guards against a booking that has run and is told as "has not run" (review/8, issue 40)."""
+    scripted.results = [(0.0, _answer(status))]
+    with pytest.raises(errors.UnknownOutcomeError, match="refusal-unproved"):
+        await two_server_dispatcher.dispatch(_call(idempotent=False))
+    assert len(scripted.requests) == 1
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("hedged", [False, True])
+async def test_idempotent_request_is_repeated_after_an_unproved_refusal(
+    two_server_dispatcher, scripted, status, hedged
+):
+    """Guards against callers that get the refusal of one server although another one answers."""
+    delay_s = _AFTER_HEDGE_S if hedged else 0.0
+    scripted.results = [(delay_s, _answer(status)), (0.0, _answer(200))]
+    assert (await two_server_dispatcher.dispatch(_call())).status == 200
+    scripted.results = [(0.0, _answer(status))]
+    with pytest.raises(errors.UnknownOutcomeError):
+        await two_server_dispatcher.dispatch(_call())
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_server_that_fails_with_refusals_is_taken_out(
+    two_server_dispatcher, scripted, status
+):
+    """Guards against a failing server that keeps its share of the calls (issue 40).
+
+    Load pattern: one of two servers fails every request at once, with a status that is none of
+    the usual failures.
+    """
+    failing = "server-0"
+
+    def answer(request):
+        return _answer(status if request.server_id == failing else 200)(request)
+
+    scripted.results = [(0.0, answer)]
+    for _ in range(60):
+        with contextlib.suppress(errors.UnknownOutcomeError):
+            await two_server_dispatcher.dispatch(_call(idempotent=False))
+    sent = [request.server_id for request in scripted.requests].count(failing)
+    assert 0 < sent < 15
--- a/packages/mesh/src/laburnumford_mesh/tests/test_node.py
+++ b/packages/mesh/src/laburnumford_mesh/tests/test_node.py
@@ -94,6 +94,24 @@
     assert len(runs) == len(set(runs)) == 10
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_failure_of_a_server_is_not_told_as_not_run(pair, status):
+    """Guards against a booking that has run and whose caller is told to book again (review/8)."""
+    fleet, addresses = pair
+    for backend in fleet.backends:
+        backend.status = status
+    told = [
+        (await fleet.request(ip, "POST", "/post/1", f"{ip}-{index}"))[:2]
+        for index in range(4)
+        for ip in addresses
+    ]
+    ran_at = {backend.server_id for backend in fleet.backends if backend.runs}
+    assert len(ran_at) == 2
+    ran = sum(len(backend.runs) for backend in fleet.backends)
+    assert [answered for answered, _ in told].count(502) == ran
+    assert all("x-signature" not in values for _, values in told)
+
+
 async def test_non_idempotent_request_is_not_retried_after_invalid_answer(pair):
     """Guards against two runs of a non-idempotent request whose answer was unusable."""
     fleet, (ip, _) = pair
