Bound what a health check reads, and check less often on invalid answers

Cause: the limits on what is read belonged to the connection, so a health check could read an answer of 64 MB, and the next check followed 20 ms later whatever the last one had given.

Change: ServerConnection.send takes limits for one exchange, 16 KB of fields and of body for a health check. CheckInterval, which needs no network, doubles the interval up to 1 s while answers are invalid.

--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -42,7 +42,7 @@
     in which the server sends more than the limits allow fails, and the connection is closed.
 
     Args:
-        limits: limits on the bytes of one exchange.
+        limits: limits on the bytes of an exchange that states none of its own.
         budget: limit on the bodies that all connections of the owner buffer.
         id_field: name of the header field that matches an answer to its request, or None.
 
@@ -58,6 +58,7 @@
         budget: buffer_budget.BufferBudget,
         id_field: bytes | None = None,
     ) -> None:
+        self._default_limits = limits
         self._limits = limits
         self._budget = budget
         self._id_field = id_field
@@ -253,7 +254,12 @@
         return request_id in self._sent_ids
 
     async def send(
-        self, method: bytes, head: bytes, expected_id: bytes | None = None, body: bytes = b""
+        self,
+        method: bytes,
+        head: bytes,
+        expected_id: bytes | None = None,
+        body: bytes = b"",
+        limits: read_limits.ReadLimits | None = None,
     ) -> answers.Answer:
         """Sends a request and returns the complete answer.
 
@@ -265,6 +271,7 @@
             expected_id: request id that the answer must carry; None for a request without an id,
                 whose answer must carry none.
             body: body of the request.
+            limits: limits on the bytes of this exchange, those of the connection if None.
 
         Raises:
             ConnectionClosedError: the connection closed before the request was written.
@@ -272,6 +279,7 @@
         """
         if self._transport is None or self._lost or self._transport.is_closing():
             raise errors.ConnectionClosedError("connection closed before the request was written")
+        self._limits = limits or self._default_limits
         self._method = method
         self._expected_id = expected_id
         self._in_answer = False
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -31,6 +31,7 @@
 from laburnumford_node.http import errors as http_errors
 from laburnumford_node.http import fields
 from laburnumford_policy.placement import (
+    check_interval,
     completed_work,
     displacement,
     knee_limit,
@@ -60,6 +61,14 @@
 _MIN_PROBE_INTERVAL_S = 0.02
 """Limits the probes to 50 per second; the platform allows 60."""
 
+_MAX_PROBE_INTERVAL_S = 1.0
+"""Longest interval while the answers to probes are invalid."""
+
+_PROBE_READ_LIMITS = read_limits.ReadLimits(
+    framing_bytes=16 * 1024, header_fields=64, body_bytes=16 * 1024
+)
+"""The fields of a health check have some hundred bytes, and its body is not used."""
+
 _DOWN_AFTER_CONNECT_ERROR_S = 0.3
 """Time for which the server counts as down after a failed connect."""
 
@@ -136,7 +145,9 @@
         self._speed = server_speed.ServerSpeed()
         self._health_path = ""
         self._probe: asyncio.Task[None] | None = None
-        self._last_probe_s = -math.inf
+        self._probe_interval = check_interval.CheckInterval(
+            min_s=_MIN_PROBE_INTERVAL_S, max_s=_MAX_PROBE_INTERVAL_S
+        )
         self._down_until_s = -math.inf
         self._lifecycle = server_lifecycle.ServerLifecycle(log=log)
         self._evacuated = False
@@ -754,9 +765,9 @@
             return False
         if self._probe is not None:
             return True
-        if now - self._last_probe_s < _MIN_PROBE_INTERVAL_S:
+        if not self._probe_interval.is_due(now):
             return False
-        self._last_probe_s = now
+        self._probe_interval.observe_start(now)
         self.probe_count += 1
         self._probe = asyncio.get_running_loop().create_task(self._run_probe())
         return True
@@ -770,12 +781,15 @@
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 connection = await self._pool.acquire(_UNLIMITED_IDLE_S)
                 self._coldness.begin_check()
-                answer = await connection.send(b"GET", encoded)
+                answer = await connection.send(b"GET", encoded, limits=_PROBE_READ_LIMITS)
+            self._probe_interval.observe_answer()
             self._observe_server_id(fields.get(answer.fields, self._names.server_id))
             self._observe_load(fields.get(answer.fields, self._names.load))
             self._observe_notice(answer, self.server_id, is_health_check=True)
         except (TimeoutError, http_errors.HttpError) as error:
             self._log.write("probe_failed", server=self.server_id, error=str(error))
+            if isinstance(error, http_errors.BadMessageError):
+                self._probe_interval.observe_invalid_answer()
             self._coldness.observe_failed_check()
             self._close_connection(connection)
         finally:
