Bound the framing of a server's answer in packages/node

A server that sends a status line, a field name or a field value without end filled the memory of a node of packages/node (20 MB in one second, with the event loop busy copying) until the call's deadline; chunk sizes and informational answers without end cost its processor time.

Cause: the parser collects an element without a limit, and ClientConnection counted only the fields. The mesh node counts the bytes around the body; its ReadMeter moves to laburnumford_node.http and is used by both. More than 64 KB of them in one exchange fail it.

--- a/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/edge_connection.py
@@ -18,10 +18,9 @@
     caller_memory,
     framing,
     pending_answer,
-    read_meter,
     request,
 )
-from laburnumford_node.http import errors, fields, parsing, sockets
+from laburnumford_node.http import errors, fields, parsing, read_meter, sockets
 
 Handler = Callable[[request.Request], Awaitable[answers.Answer]]
 """Answers one request. It is cancelled when the caller disconnects."""
--- a/packages/mesh/src/laburnumford_mesh/http/server_connection.py
+++ b/packages/mesh/src/laburnumford_mesh/http/server_connection.py
@@ -8,8 +8,8 @@
 
 from laburnumford_mesh import clock
 from laburnumford_mesh.http import answer as answers
-from laburnumford_mesh.http import body_writer, buffer_budget, read_limits, read_meter, space_wait
-from laburnumford_node.http import errors, fields, parsing
+from laburnumford_mesh.http import body_writer, buffer_budget, read_limits, space_wait
+from laburnumford_node.http import errors, fields, parsing, read_meter
 
 _BODYLESS_STATUSES = frozenset({204, 304})
 _BODYLESS_METHODS = frozenset({b"GET", b"HEAD"})
--- a/packages/node/src/laburnumford_node/http/client_connection.py
+++ b/packages/node/src/laburnumford_node/http/client_connection.py
@@ -13,10 +13,14 @@
     errors,
     fields,
     parsing,
+    read_meter,
     response,
 )
 
 _BODYLESS_STATUSES = frozenset({204, 304})
+_MAX_FRAMING_BYTES = 64 * 1024
+"""Bytes of one exchange that belong to no body: status lines, header fields, informational answers,
+chunk sizes and trailers. The parser accumulates each of them without a limit."""
 
 InformationalCallback = Callable[[int, Sequence[fields.Field]], None]
 """Gets the status and the header fields of a 1xx answer other than 100."""
@@ -36,6 +40,7 @@
         super().__init__()
         self._buffers = buffers
         self._parser = httptools.HttpResponseParser(self)
+        self._meter = read_meter.ReadMeter()
         self._head_waiter: asyncio.Future[response.Response] | None = None
         self._continue_waiter: asyncio.Future[bool] | None = None
         self._method = b""
@@ -63,10 +68,20 @@
             self._not_reusable = True
             self.close()
             return
+        self._meter.observe_received(nbytes)
         try:
             parsing.feed_answer(self._parser, _read_buffer.READ_BUFFER[:nbytes])
         except errors.BadMessageError as error:
             self._fail(error)
+            return
+        if not self._meter.is_framing_within(_MAX_FRAMING_BYTES):
+            self._fail(
+                errors.BadMessageError(
+                    502,
+                    f"answer has more than {_MAX_FRAMING_BYTES} bytes of header fields, "
+                    "chunk sizes, trailers and informational answers",
+                )
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange in progress."""
@@ -116,6 +131,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds received bytes to the body of the answer."""
+        self._meter.observe_body(len(data))
         if self._body is not None and not self._answer_ended:
             self._body.feed(data)
 
@@ -149,6 +165,7 @@
             method: request method, which decides whether the answer has a body.
         """
         self._method = method
+        self._meter.reset()
         self._active = True
         self._answer_ended = False
         self._request_ended = False
