Bound the body of an answer to a probe in packages/node

A server that answers a probe of packages/node with a body without end kept the node reading until the probe's timeout of one second: 2,984 MB in one probe, at the cost of its processor. The body is not used.

Cause: the prober read whatever came, and charged it to the measuring budget only when the body had ended, so a body without end was never charged.

More than 16 KB end the probe as failed, and what was read is charged in any case.

--- a/packages/node/src/laburnumford_node/http/tests/test_endless_answers.py
+++ b/packages/node/src/laburnumford_node/http/tests/test_endless_answers.py
@@ -24,6 +24,14 @@
 """Largest socket buffers of both ends; the connection itself reads a small part of this."""
 
 
+async def _read_answer(ongoing):
+    received = await ongoing.send(
+        method=b"GET", target=b"/", head=[], payload=payload.Payload(data=b"")
+    )
+    while await received.body.read():
+        pass
+
+
 @pytest.mark.parametrize("name", _ENDLESS_FRAMING)
 async def test_endless_framing_of_an_answer_is_cut_off(name):
     """Guards against a server that fills the node's memory with the head of one answer (issue 40)."""
@@ -39,12 +47,7 @@
             connection=connection, release=lambda _: connections.release(address, connection)
         )
         with pytest.raises(errors.HttpError):
-            async with asyncio.timeout(5):
-                received = await ongoing.send(
-                    method=b"GET", target=b"/", head=[], payload=payload.Payload(data=b"")
-                )
-                while await received.body.read():
-                    pass
+            await asyncio.wait_for(_read_answer(ongoing), 5)
         ongoing.abandon()
         await asyncio.wait_for(server.closed.wait(), 5)
         assert server.sent_bytes <= _MAX_SENT_BYTES
--- a/packages/node/src/laburnumford_node/prober.py
+++ b/packages/node/src/laburnumford_node/prober.py
@@ -7,7 +7,7 @@
 
 from laburnumford_node import adjacent, exchange, header_names
 from laburnumford_node import payload as payloads
-from laburnumford_node.http import errors, fields, pool
+from laburnumford_node.http import body, errors, fields, pool
 from laburnumford_objects import measuring as measuring_object
 from laburnumford_policy import measuring
 
@@ -22,6 +22,9 @@
 """A probe must fit into the burst of the measuring budget; the smallest budget in use, 600 bytes/s,
 has a burst of 480 bytes."""
 
+_MAX_BODY_BYTES = 16 * 1024
+"""Largest body of an answer to a probe, which is not used."""
+
 _HEAD_BYTES = 200
 """Estimated size of the start line and the header fields of a probe or of its answer."""
 
@@ -152,17 +155,31 @@
                 head=[(b"host", self._address.encode())],
                 payload=payloads.Payload(data=b""),
             )
-            body_bytes = 0
-            while data := await answer.body.read():
-                body_bytes += len(data)
+            await self._read_body(answer.body)
             await ongoing.end(whole=True)
         finally:
             ongoing.abandon()
-        if self._budget is not None:
-            excess_bytes = max(body_bytes + 2 * _HEAD_BYTES - _PROBE_COST.bytes, 0)
-            self._budget.observe(measuring.Cost(calls=0, bytes=excess_bytes), self._clock())
         # The health status may lag or be wrong, so only an explicit header value ends a drain.
         draining = {b"0": False, b"1": True}.get(
             fields.get(answer.fields, header_names.DRAINING) or b""
         )
         return answer.status < 400, draining
+
+    async def _read_body(self, received: body.Body) -> None:
+        """Reads the body of an answer and charges it to the budget.
+
+        Raises:
+            HttpError: the body is too large, or incomplete.
+        """
+        body_bytes = 0
+        try:
+            while data := await received.read():
+                body_bytes += len(data)
+                if body_bytes > _MAX_BODY_BYTES:
+                    raise errors.BadMessageError(
+                        502, f"answer to a probe has more than {_MAX_BODY_BYTES} bytes"
+                    )
+        finally:
+            if self._budget is not None:
+                excess_bytes = max(body_bytes + 2 * _HEAD_BYTES - _PROBE_COST.bytes, 0)
+                self._budget.observe(measuring.Cost(calls=0, bytes=excess_bytes), self._clock())
