Refuse what a stopping node cannot answer before its end

In a planned stop, bookings of 3 s that came 2.5 to 3.0 s after SIGTERM were taken, passed on and cut at the end of the grace period without an answer: 19 of 31 with three real nodes; of those sent from 2.99 s on, 3 of 18 were lost by the rule.

Cause: the end of the process was a timer of Node._drain that no decision about a request knew of, and the share of the grace period after which requests are refused was checked every 50 ms.

StopWindow, which needs no network, gives the end of the process the part of a deadline: a request is taken if it is decided before the connections close, by its deadline or by twice its observed service time, and refused at once otherwise. The edge, the admission of requests of other nodes and the queue of waiting requests ask it.

--- a/packages/mesh/src/laburnumford_mesh/dispatcher.py
+++ b/packages/mesh/src/laburnumford_mesh/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from typing import Any
 
 import msgspec
@@ -211,6 +212,11 @@
             if history.refusals >= _MAX_REFUSALS_PER_REQUEST:
                 return self._give_up(history, "no-room")
 
+    def observed_service_time_s(self, ongoing: call.Call) -> float:
+        """Returns the mean service time of such requests in seconds, infinity without any answer."""
+        placement = self._services.state(ongoing.service).placement
+        return placement.mean_service_time_s(ongoing.route_name, math.inf)
+
     def figures(self, ongoing: call.Call) -> dict[str, Any]:
         """Returns what is known about the servers for a request that gets no answer of one."""
         return decision_figures.of_end(clock.now(), ongoing, self._services.state(ongoing.service))
--- a/packages/mesh/src/laburnumford_mesh/edge.py
+++ b/packages/mesh/src/laburnumford_mesh/edge.py
@@ -1,6 +1,7 @@
 """Routing of the requests of callers."""
 
 import asyncio
+import dataclasses
 import json
 import random
 from collections.abc import Callable
@@ -21,7 +22,7 @@
 from laburnumford_mesh.http import answer as answers
 from laburnumford_mesh.http import request
 from laburnumford_node.http import fields
-from laburnumford_policy.placement import caller_timeouts, weighted_split
+from laburnumford_policy.placement import caller_timeouts, stop_window, weighted_split
 
 _STALE_CONFIGURATION_S = 1.2
 """With older published values, a route that is not found may have been added since."""
@@ -32,6 +33,9 @@
 _MIN_RETRY_AFTER_S = 0.05
 """Three round trips of 16 ms to a caller."""
 
+_STOPPING_REASON = "stopping"
+"""The process is about to exit."""
+
 _MAX_SPLIT_OFFSET = 100
 """Number of requests; each node starts its weighted round robin at a random offset, so that nodes
 do not choose the same service in lockstep."""
@@ -79,18 +83,21 @@
         self._log = log
         self._metrics = counters
         self._caller_timeouts = caller_timeouts.CallerTimeouts()
-        self.stopping = False
-        """Whether new requests are refused because the process is about to exit."""
+        self._stop_window: stop_window.StopWindow | None = None
         self._split_by_route: dict[tuple[int, str, str], weighted_split.WeightedSplit] = {}
         self._dropped_fields = frozenset(
             {names.timeout_ms, names.target_server, names.caller_service, b"expect"}
         )
 
+    def begin_stop(self, window: stop_window.StopWindow) -> None:
+        """Refuses the requests that cannot be answered before the process ends."""
+        self._stop_window = window
+
     async def handle(self, received: request.Request) -> answers.Answer:
         """Returns the answer to one request."""
         request_id = received.value_by_name.get(self._names.request_id, b"").decode("latin-1")
-        if self.stopping:
-            return self._refuse(request_id, "stopping", _MIN_RETRY_AFTER_S)
+        if self._stop_window is not None and not self._stop_window.is_open(clock.now()):
+            return self._refuse(request_id, _STOPPING_REASON, _MIN_RETRY_AFTER_S)
         current = self._current_configuration()
         if current is None:
             return self._refuse(request_id, "no-configuration", 0.3)
@@ -110,6 +117,12 @@
         current: configuration.Configuration,
     ) -> answers.Answer:
         ongoing = self._build_call(received, request_id, matched_route, current)
+        if self._stop_window is not None:
+            service_time_s = self._dispatcher.observed_service_time_s(ongoing)
+            if not self._stop_window.can_finish(clock.now(), ongoing.deadline_s, service_time_s):
+                return self._refuse(request_id, _STOPPING_REASON, _MIN_RETRY_AFTER_S, ongoing)
+            deadline_s = self._stop_window.limit(ongoing.deadline_s)
+            ongoing = dataclasses.replace(ongoing, deadline_s=deadline_s)
         remaining_s = max(ongoing.deadline_s - clock.now(), 0.0)
         try:
             async with asyncio.timeout(remaining_s + _TIMEOUT_GRACE_S):
--- a/packages/mesh/src/laburnumford_mesh/local_server.py
+++ b/packages/mesh/src/laburnumford_mesh/local_server.py
@@ -37,6 +37,7 @@
     knee_limit,
     reservations,
     start_policy,
+    stop_window,
     work_queue,
 )
 
@@ -78,6 +79,9 @@
 _RATE_LIMIT_REASON = "rate-limited"
 """The server advertises a rate at which it cannot get the request in time."""
 
+_LEAVING_REASON = "leaving"
+"""The node ends before the request would."""
+
 _EVACUATED_REASON = "zone-evacuated"
 """Nothing may be sent to the server until the evacuation of its zone ends."""
 
@@ -159,6 +163,7 @@
         self._coldness = server_coldness.ServerColdness(
             log=log, rate_limit=self._rate_limit, bound=cold_start_bound
         )
+        self._stop_window: stop_window.StopWindow | None = None
         self.running = 0
         self.shutting_down = False
         self.run_count = 0
@@ -228,6 +233,11 @@
         """
         self._lifecycle.observe_draining(draining=draining, waiting=self.waiting)
 
+    def begin_stop(self, window: stop_window.StopWindow) -> None:
+        """Refuses the requests that cannot be answered before the process ends."""
+        self._stop_window = window
+        self._shed_waiting_requests()
+
     def observe_evacuation(self, *, evacuated: bool) -> None:
         """Records whether the zone of the server is evacuated.
 
@@ -395,8 +405,10 @@
         Raises:
             RefusedError: it does not, or another server runs at its address.
         """
-        if self.shutting_down:
-            raise errors.RefusedError("leaving")
+        if self.shutting_down or not self._can_finish(
+            started_s, started_s + request.remaining_s, request.request_class
+        ):
+            raise errors.RefusedError(_LEAVING_REASON)
         if self._evacuated:
             raise errors.RefusedError(_EVACUATED_REASON)
         if self._lifecycle.is_drain_start_window_over(started_s):
@@ -411,6 +423,17 @@
             # The evacuation may have begun during the probe for the id of the server.
             raise errors.RefusedError(_EVACUATED_REASON)
 
+    def _can_finish(self, now: float, deadline_s: float, request_class: str) -> bool:
+        """Returns whether a request is decided before the process ends."""
+        if self._stop_window is None:
+            return True
+        service_time_s = self._service_times.observed(request_class) * self._speed.baseline
+        return self._stop_window.can_finish(now, deadline_s, service_time_s)
+
+    def _limit_to_stop(self, deadline_s: float) -> float:
+        """Returns a deadline that does not come after the end of the process."""
+        return deadline_s if self._stop_window is None else self._stop_window.limit(deadline_s)
+
     def _must_yield(self, entry: work_queue.WaitingRequest, service_time_s: float) -> bool:
         """Returns whether a request leaves the server to a class of a higher priority.
 
@@ -572,7 +595,7 @@
             if self._evacuated:
                 return self.refusal(request.call_id, _EVACUATED_REASON)
             sent_s = clock.now()
-            remaining_s = deadline_s - sent_s
+            remaining_s = self._limit_to_stop(deadline_s) - sent_s
             if remaining_s <= 0:
                 return self.refusal(request.call_id, "deadline")
             async with asyncio.timeout(remaining_s + _DEADLINE_GRACE_S):
@@ -804,6 +827,8 @@
             self._refuse_waiting_request(evicted, _EVACUATED_REASON)
         for entry in self._queue.shed(now):
             self._refuse_waiting_request(entry, "deadline")
+        if self._stop_window is not None:
+            self._shed_unfinishable_requests(now)
         if self._rate_limit.bucket.rate_per_s is not None:
             for entry in self._queue.shed_unreachable(
                 now, lambda ahead: self._rate_limit.bucket.wait_s(now, ahead)
@@ -816,6 +841,13 @@
         ):
             self._refuse_waiting_request(waiting, "server-draining")
 
+    def _shed_unfinishable_requests(self, now: float) -> None:
+        """Refuses waiting requests that would still run when the process ends."""
+        for entry in self._queue.in_order(now):
+            if not self._can_finish(now, entry.deadline_s, entry.request_class):
+                self._queue.remove(entry.entry_id)
+                self._refuse_waiting_request(entry, _LEAVING_REASON)
+
     def _refuse_waiting_request(
         self,
         entry: work_queue.WaitingRequest,
--- a/packages/mesh/src/laburnumford_mesh/node.py
+++ b/packages/mesh/src/laburnumford_mesh/node.py
@@ -39,7 +39,7 @@
 from laburnumford_mesh import limits as limits_module
 from laburnumford_mesh.http import answer as answers
 from laburnumford_mesh.http import buffer_budget, edge_connection, edge_server, request
-from laburnumford_policy.placement import spread
+from laburnumford_policy.placement import spread, stop_window
 
 _LOG = logging.getLogger("laburnumford.mesh")
 _GOSSIP_INTERVAL_S = 0.2
@@ -66,13 +66,6 @@
 """Seconds for which a stopping node keeps relaying requests of peers to the adjacent server. In a
 rolling restart of the nodes that server is healthy, and without it the others carry its load."""
 
-_ACCEPT_GRACE_SHARE = 0.5
-"""Share of the grace period after which a stopping node refuses new requests. Callers with open
-connections keep sending until the process ends, and requests in flight need time to finish."""
-
-_CLOSE_MARGIN_S = 0.5
-"""Seconds at the end of the grace period that are left for closing connections."""
-
 _GO_AWAY_BLOCK_S = 8.0
 """Seconds; longer than the grace period. The first digest of the restarted node ends the block."""
 
@@ -128,6 +121,7 @@
         self._generator = random.Random(secrets.randbits(64))
         self._incarnation = secrets.randbits(62)
         self._stop = asyncio.Event()
+        self._stop_requested_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = metrics.Metrics()
         self._log = log
@@ -226,6 +220,8 @@
 
     def request_stop(self) -> None:
         """Makes `run` drain and return; may be called as a signal handler of the event loop."""
+        if not self._stop.is_set():
+            self._stop_requested_s = clock.now()
         self._stop.set()
 
     def request_reload(self) -> None:
@@ -267,12 +263,13 @@
 
     async def _drain(self) -> None:
         """Lets callers leave, waits for requests in flight and closes all parts."""
-        started_s = clock.now()
+        started_s = self._stop_requested_s
+        window = stop_window.StopWindow(started_s=started_s, grace_s=self._settings.grace_s)
+        self._edge.begin_stop(window)
+        self._local.begin_stop(window)
         self._log.write("stopping", in_work=self._edge_server.in_flight_count)
-        until_s = started_s + max(self._settings.grace_s - _CLOSE_MARGIN_S, 0.5)
-        while (now := clock.now()) < until_s:
+        while (now := clock.now()) < window.closes_s:
             self._edge_server.begin_drain()
-            self._edge.stopping = now - started_s >= _ACCEPT_GRACE_SHARE * self._settings.grace_s
             if now - started_s >= _RELAY_DRAIN_S and not self._local.shutting_down:
                 self._local.shutting_down = True
                 self._listener.send_go_away(self._local.server_id)
--- a/packages/mesh/src/laburnumford_mesh/service_times.py
+++ b/packages/mesh/src/laburnumford_mesh/service_times.py
@@ -1,5 +1,7 @@
 """Service times of the backend server on the same VM."""
 
+import math
+
 from laburnumford_policy.placement import running_means
 
 _WEIGHT = 0.1
@@ -31,3 +33,7 @@
     def of_class(self, request_class: str) -> float:
         """Returns the mean service time of a class at normal speed in seconds."""
         return self._means.mean(request_class, self._default_s_by_class.get(request_class, 0.0))
+
+    def observed(self, request_class: str) -> float:
+        """Returns the mean service time of a class in seconds, infinity without any request."""
+        return self._means.mean(request_class, math.inf)
