--- a/review/standin3/lab.py
+++ b/review/standin3/lab.py
@@ -473,9 +473,14 @@
 
 
 class SlowLink:
-    """A proxy in front of a node: the machine that opens streams to it has a slow link."""
+    """A proxy in front of a node, for the streams that other machines open to it.
 
-    def __init__(self, listen, target, rate):
+    The bytes of one direction pass at a rate: to the caller, whose link is slow, or with `inbound`
+    to the node, whose own link is slow.
+    """
+
+    def __init__(self, listen, target, rate, *, inbound=False):
+        self._inbound = inbound
         self._listen = listen
         self._target = target
         self._rate = rate
@@ -500,7 +505,8 @@
             found, to_target = await asyncio.open_connection(host, int(port), limit=16384)
             try:
                 await asyncio.gather(
-                    self._pass(reader, to_target, False), self._pass(found, writer, True)
+                    self._pass(reader, to_target, self._inbound),
+                    self._pass(found, writer, not self._inbound),
                 )
             finally:
                 to_target.close()
@@ -616,6 +622,7 @@
         memory_mb=300,
         limits=None,
         slow=None,
+        inbound=False,
         **options,
     ):
         """Starts a machine for each service named and waits until all nodes are ready.
@@ -630,7 +637,7 @@
             entry_ip = ip
             if slow is not None and service == services[0]:
                 entry_ip = f"{self.prefix}.{index + 101}"
-                link = SlowLink(f"{entry_ip}:7620", f"{ip}:7620", slow)
+                link = SlowLink(f"{entry_ip}:7620", f"{ip}:7620", slow, inbound=inbound)
                 await link.start()
                 self.links.append(link)
             server_id = f"i-{self.random.getrandbits(32):08x}"
