--- a/review/standin3/lab.py
+++ b/review/standin3/lab.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import sys
 import tempfile
@@ -563,6 +564,15 @@
     """The case could not run."""
 
 
+def need_descriptors(count):
+    """Raises the soft limit on open files, which nodes inherit, to at least a number."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < count:
+        raise UnableError(f"{count} open files are needed, the hard limit is {hard}")
+    if soft != resource.RLIM_INFINITY and soft < count:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def route(name, kind, service, **more):
     """Returns a route of the configuration."""
     return {
@@ -681,7 +691,6 @@
 
 def main(case, folder):
     """Runs a case, an async function that returns the broken rules; exits with 0, 1 or 2."""
-
     # A shell may have told its children to ignore it, which nodes would inherit.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
 
