End the nodes of a review case with its script

A script of the cases 11 to 13 that got SIGTERM, SIGINT or SIGHUP left its three nodes running. Without a signal nothing changes.

--- a/review/standin3/lab.py
+++ b/review/standin3/lab.py
@@ -696,9 +696,23 @@
 
     async def run():
         lab = Lab(folder)
+        task = asyncio.current_task()
+        signals = []
+
+        def end(number):
+            signals.append(number)
+            if len(signals) == 1:
+                task.cancel()
+
+        # Whoever ends the script also ends its nodes.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, end, number)
         try:
             async with asyncio.timeout(110):
                 broken = await case(lab)
+        except asyncio.CancelledError:
+            lab.record(f"could not run: ended by {signal.Signals(signals[0]).name}")
+            return 2
         except (UnableError, OSError, TimeoutError) as error:
             lab.record(f"could not run: {error!r}")
             return 2
